--- a/yarrowlever/simhost.py
+++ b/hollowhitch/adapter.py
@@ -5,23 +5,20 @@
 import json
 import sys
 from collections.abc import Callable, Iterator
-from typing import Any, TextIO
+from typing import TextIO
 
-from yarrowlever.control import Controller
-from yarrowlever.interface import (
+from hollowhitch.policy.control import Controller
+from hollowhitch.policy.interface import (
     Action,
     AttemptEnded,
     CancelAttempt,
     ClientLeft,
-    Effect,
     Engine,
     EngineList,
     EngineState,
     Event,
     Fail,
     FetchList,
-    Kind,
-    Limits,
     ListKind,
     LoadReport,
     Log,
@@ -29,27 +26,20 @@
     Note,
     NoteKind,
     Outcome,
-    Prices,
     Probe,
     ProbeEnded,
     QueryArrived,
-    QueryClass,
     Refuse,
-    Rules,
-    Scope,
     Send,
     SendMessage,
     SetTerms,
     SetTimer,
-    Settings,
     StreamBegan,
     Subscribe,
-    Tenant,
     TimerFired,
-    WhenShort,
 )
+from hollowhitch.settings import parse_report, parse_settings
 
-EFFECTS = {"retryable": Effect.SAFE, "dedup": Effect.KEYED, "fragile": Effect.UNSAFE}
 OUTCOMES = {
     "done": Outcome.OK,
     "err": Outcome.ERROR,
@@ -67,18 +57,6 @@
     "SAVED": ListKind.CACHED,
     "FAILED": ListKind.FAILED,
 }
-WHEN_SHORT = {"queue": WhenShort.WAIT, "trim": WhenShort.SHRINK, "swap": WhenShort.PAGE}
-REPORT_FIELDS = {
-    "cpu": "util",
-    "active": "running",
-    "waiting": "waiting",
-    "x0": "memory",
-    "x1": "disks",
-    "avg_ms": "latency_ms",
-    "rps": "served_per_s",
-    "err_rps": "errors_per_s",
-}
-NO_REPORT: dict[str, float | None] = dict.fromkeys(REPORT_FIELDS.values())
 VALID_COST, CLIENT_RETRY = 1, 2
 BILL_MS, BILL_MB = 4096, 4.0
 
@@ -87,121 +65,8 @@
     """A line that does not follow the wire."""
 
 
-def parse_settings(info: dict[str, Any]) -> Settings:
-    """Turn the start-up object into settings; keys nobody knows are passed over."""
-
-    def need(table: dict[str, Any], key: str) -> Any:
-        if key not in table:
-            raise WireError(f"bootInfo lacks {key}")
-        return table[key]
-
-    extra, bounds, rules = info.get("extra") or {}, need(info, "bounds"), need(info, "rules")
-    prices, load = info.get("deductions") or {}, info.get("loadInfo") or {}
-    names = info.get("kinds") or []
-    cores, sizes = extra.get("kindCores") or [None] * len(names), extra.get("sizeMb") or [None] * len(names)
-    for key, column in (("kindCores", cores), ("sizeMb", sizes)):
-        if len(column) != len(names):
-            raise ValueError(f"{key} does not match kinds")
-    rows = need(info, "classes")
-
-    def column(key: str, default: Any) -> list[Any]:
-        values = extra.get(key)
-        if values is None:
-            return [default] * len(rows)
-        if len(values) != len(rows):
-            raise ValueError(f"{key} does not match classes")
-        return values
-
-    threads, loads = column("parallelism", 1), column("holdsTables", False)
-    waits = column("yieldsToLoads", False)
-    classes = []
-    for i, c in enumerate(rows):
-        effect = need(c, "semantics")
-        if effect not in EFFECTS:
-            raise ValueError(f"semantics: {effect!r} is unknown")
-        classes.append(
-            QueryClass(
-                name=need(c, "name"),
-                aim_us=int(need(c, "goalTimeUs")),
-                aim_stretch=float(c.get("aimStretch") or 0),
-                deadline_us=int(need(c, "deadlineUs")),
-                worth=float(c.get("worth", 1)),
-                late_share=float(c.get("lateShare") or 0),
-                effect=EFFECTS[effect],
-                scope=Scope(c.get("keyScope") or "all"),
-                repeat_window_us=int(c.get("repeatWindowUs") or 0),
-                in_order=bool(c.get("sequential")),
-                threads=int(threads[i]),
-                is_load=bool(loads[i]),
-                waits_for_loads=bool(waits[i]),
-                only_zones=tuple(c["areasOnly"]) if c.get("areasOnly") else None,
-                only_kinds=tuple(c["kindsOnly"]) if c.get("kindsOnly") else None,
-            )
-        )
-    share = rules.get("extraPerRequest")
-    return Settings(
-        gateway=int(info.get("position", 0)),
-        gateways=int(info.get("replicasOfMe", 1)),
-        zone=info.get("myZone"),
-        zones=tuple(info.get("areas") or ()),
-        kinds=tuple(Kind(*row) for row in zip(names, cores, sizes, strict=True)),
-        classes=tuple(classes),
-        tenants=tuple(
-            Tenant(t["name"], t.get("quotaPerS"), float(t.get("share") or 0))
-            for t in info.get("accounts") or ()
-        ),
-        over_share_worth=float(info.get("overShareWorth", 1)),
-        limits=Limits(
-            max_attempts=int(need(bounds, "maxAttempts")),
-            cancel=bool(bounds.get("cancel")),
-            second_copies=bool(bounds.get("secondCopies")),
-            probes=bool(bounds.get("probes")),
-            messages=bool(bounds.get("peerMessages")),
-            retry_after_us=int(bounds.get("maxRetryAfterUs") or 0) if bounds.get("retryAfter") else None,
-        ),
-        rules=Rules(
-            answer_slack_us=int(rules.get("answerSlackUs") or 0),
-            drain_grace_us=int(rules.get("drainGraceUs") or 0),
-            must_ask_us=int(rules["mustAskInUs"]) if rules.get("mustAskInUs") else None,
-            start_capacity=float(rules.get("startCapacity", 1)),
-            cold_us=int(rules.get("coldUs") or 0),
-            tip_multiple=float(rules.get("tipMultiple") or 0),
-            tip_after_us=int(rules.get("tipAfterUs") or 0),
-            key_rest_us=int(rules.get("keyRestUs") or 0),
-            budget_share=float(share) if share is not None else None,
-            budget_free=float(rules.get("freeResends") or 0),
-            budget_window_us=int(rules.get("budgetWindowUs") or 0),
-        ),
-        prices=Prices(
-            cross_zone=float(prices.get("crossZone") or 0),
-            waste=float(prices.get("waste") or 0),
-            probe=float(prices.get("probe") or 0),
-            late_fail=float(prices.get("lateFail") or 0),
-            message=float(prices.get("peer") or 0),
-        ),
-        asks_for_list=info.get("discovery") == "subscribe",
-        reports_with_answers=load.get("how") == "answers",
-        reports_with_probes=load.get("how") in ("answers", "probe"),
-        weight_is_size=info.get("weights") in ("nominal", "rough"),
-        tick_us=int(info.get("granularityUs") or 1000),
-        grants=bool(extra.get("grantsCount")),
-        priorities=bool(extra.get("lanesCount")),
-        most_grant=extra.get("mostGrant"),
-        bills=bool(extra.get("bills")),
-        progress_us=int(extra.get("progressUs") or 0),
-        when_short=WHEN_SHORT.get(extra.get("whenShort")),
-    )
-
-
-def parse_report(text: str) -> LoadReport | None:
-    if text == "-":
-        return None
-    found = dict(NO_REPORT)
-    for pair in text.split(","):
-        name, _, value = pair.partition(":")
-        if name in REPORT_FIELDS:
-            found[REPORT_FIELDS[name]] = float(value)
-    return LoadReport(**found)
+def load_report(text: str) -> LoadReport | None:
+    return None if text == "-" else parse_report(text, ",")
 
 
 def number(text: str) -> int:
@@ -247,7 +112,7 @@
         final=p[6] == "1",
         work_us=bill // BILL_MS * 1000,
         memory_mb=bill % BILL_MS * BILL_MB,
-        report=parse_report(p[8]),
+        report=load_report(p[8]),
     )
 
 
@@ -265,7 +130,7 @@
     "tick_due": (2, lambda p: TimerFired(int(p[1]))),
     "check_result": (
         5,
-        lambda p: ProbeEnded(p[1], OUTCOMES.get(p[2], Outcome.UNKNOWN), number(p[3]), parse_report(p[4])),
+        lambda p: ProbeEnded(p[1], OUTCOMES.get(p[2], Outcome.UNKNOWN), number(p[3]), load_report(p[4])),
     ),
     "memo": (3, lambda p: MessageReceived(int(p[1]), data(p[2]))),
 }
@@ -415,7 +280,7 @@
             sink.flush()
     except (WireError, ValueError, TypeError, KeyError, StopIteration, RuntimeError, UnicodeError) as e:
         what = " ".join(f"{type(e).__name__}: {e}".split())
-        errors.write(f"simhost: line {at}: {what}: {last[:200]!r}\n")
+        errors.write(f"adapter: line {at}: {what}: {last[:200]!r}\n")
         return 2
     return 0
 
--- /dev/null
+++ b/hollowhitch/policy/__init__.py
@@ -0,0 +1,1 @@
+"""The decisions: events in, actions out, no I/O."""
--- a/yarrowlever/control.py
+++ b/hollowhitch/policy/control.py
@@ -1,14 +1,14 @@
-"""Every decision of the admission controller. Its types, events and actions: yarrowlever/interface.py.
+"""Every decision of the admission controller. Its types, events and actions: hollowhitch/policy/interface.py.
 
-Constants first, then estimate to guards. Books, clock and what told rules allow: yarrowlever/state.py.
+Constants first, then estimate to guards. Books, clock and what told rules allow: hollowhitch/policy/state.py.
 """
 
 from __future__ import annotations
 
 import math
 
-from yarrowlever import interface as api
-from yarrowlever.state import Attempt, ClassTable, EngineTable, Ledger, Query
+from hollowhitch.policy import interface as api
+from hollowhitch.policy.state import Attempt, ClassTable, EngineTable, Ledger, Query
 
 STEP = 0.05  # weight of one outcome in a class's corrections: told estimates scatter widely
 CLEAN_QUANTILE, RATIO_MOST = 0.2, 1.0  # without bills: a class's fast outcomes are clean; bound of the log
--- a/yarrowlever/state.py
+++ b/hollowhitch/policy/state.py
@@ -13,7 +13,7 @@
 from collections.abc import Callable, Iterable
 from typing import Any
 
-from yarrowlever import interface as api
+from hollowhitch.policy import interface as api
 
 LONGEST_TIMER_US = 3_600_000_000  # a longer wait is cut in two by the caller's own limit
 
--- a/tests/conftest.py
+++ b/tests/conftest.py
@@ -9,8 +9,8 @@
 
 from hypothesis import settings as hypothesis_settings
 
-from yarrowlever import Controller
-from yarrowlever import interface as api
+from hollowhitch import Controller
+from hollowhitch.policy import interface as api
 
 hypothesis_settings.register_profile("ci", derandomize=True, deadline=None, max_examples=60)
 hypothesis_settings.load_profile("ci")
--- a/tests/test_simhost.py
+++ b/tests/test_adapter.py
@@ -7,7 +7,7 @@
 
 import pytest
 
-from yarrowlever import simhost
+from hollowhitch import adapter
 
 BOOT = {
     "replicasOfMe": 2, "position": 0, "areas": ["z"], "myZone": "z", "kinds": ["k"], "unheardOf": 1,
@@ -32,7 +32,7 @@
 
 def play(*batches: str) -> tuple[int, str, str]:
     out, err = io.StringIO(), io.StringIO()
-    return simhost.serve(io.StringIO("".join(batches)), out, err), out.getvalue(), err.getvalue()
+    return adapter.serve(io.StringIO("".join(batches)), out, err), out.getvalue(), err.getvalue()
 
 
 def test_a_query_is_sent_and_its_outcome_read():
@@ -84,7 +84,7 @@
 
 
 def test_crash_in_decisions_is_a_fault(monkeypatch):
-    monkeypatch.setattr(simhost.Controller, "handle", lambda *_: 1 / 0)
+    monkeypatch.setattr(adapter.Controller, "handle", lambda *_: 1 / 0)
     _, out, _ = play(batch(1, 1, *opening(0)))
     assert "fault ZeroDivisionError: division by zero" in out
 
--- a/tests/test_mechanism.py
+++ b/tests/test_mechanism.py
@@ -4,9 +4,9 @@
 
 import pytest
 
+from hollowhitch.policy import interface as api
+from hollowhitch.policy.state import parted
 from tests.conftest import Gateway, S, engine, of, query_class, report, settings
-from yarrowlever import interface as api
-from yarrowlever.state import parted
 
 Outcome = api.Outcome
 
--- a/tests/test_properties.py
+++ b/tests/test_properties.py
@@ -8,8 +8,8 @@
 from hypothesis import given
 from hypothesis import strategies as st
 
+from hollowhitch.policy import interface as api
 from tests.conftest import Gateway, S, engine, query_class, settings
-from yarrowlever import interface as api
 
 Effect, Outcome = api.Effect, api.Outcome
 FAILS = [Outcome.ERROR, Outcome.FULL, Outcome.TIMEOUT, Outcome.CONNECT_FAILED, Outcome.RESET, Outcome.UNKNOWN]
--- a/tests/test_rules.py
+++ b/tests/test_rules.py
@@ -4,8 +4,8 @@
 
 import pytest
 
+from hollowhitch.policy import interface as api
 from tests.conftest import Gateway, S, engine, of, query_class, settings
-from yarrowlever import interface as api
 
 Effect, Outcome = api.Effect, api.Outcome
 
