--- /dev/null
+++ b/hollowhitch/protocol/frames.py
@@ -0,0 +1,173 @@
+"""The clients' side: binary frames in, events out; and the frames that answer them."""
+
+from __future__ import annotations
+
+import struct
+from dataclasses import dataclass
+
+from hollowhitch.protocol.buffer import ReceiveBuffer
+
+LENGTH_LEAST, LENGTH_MOST = 5, 262_144
+REQUEST, ANSWER, GONE, ASK_READY, READY, CLOSING = 1, 2, 3, 4, 5, 6
+SERVED, REFUSED, FAILED = 1, 2, 3
+YES, NO = 1, 2
+OPEN_MOST = 32  # requests open on one connection
+REMEMBERED = 1024  # answered streams that are still known as used
+
+HEAD = struct.Struct(">IBI")
+
+
+@dataclass(frozen=True, slots=True)
+class Request:
+    stream: int
+    fields: dict[str, str]
+    body: bytes
+
+
+@dataclass(frozen=True, slots=True)
+class BadRequest:
+    """A frame that is whole but whose payload can't be used: to be answered on its stream."""
+
+    stream: int
+    reason: str
+    crowded: bool = False  # too many are open; nothing else is wrong with it
+
+
+@dataclass(frozen=True, slots=True)
+class Gone:
+    stream: int
+
+
+@dataclass(frozen=True, slots=True)
+class AskReady:
+    stream: int
+
+
+@dataclass(frozen=True, slots=True)
+class Duplicate:
+    """A request on a stream that was used before: it belongs to no request, since an answer would be a second."""
+
+    stream: int
+
+
+@dataclass(frozen=True, slots=True)
+class Broken:
+    """Bytes that are no frame: nothing after them can be read."""
+
+    reason: str
+
+
+FrameEvent = Request | BadRequest | Gone | AskReady | Duplicate | Broken
+
+
+class FieldError(ValueError):
+    """Fields that run past their payload, or are not text."""
+
+
+def parse_fields(payload: bytes) -> tuple[dict[str, str], int]:
+    """The fields and how long they are."""
+    try:
+        fields: dict[str, str] = {}
+        at = 1
+        for _ in range(payload[0]):
+            name_end = at + 1 + payload[at]
+            size = int.from_bytes(payload[name_end : name_end + 2], "big")
+            end = name_end + 2 + size
+            if end > len(payload):
+                raise FieldError("fields run past the frame")
+            name = payload[at + 1 : name_end].decode()
+            if name in fields:
+                raise FieldError(f"field {name[:40]!r} stands twice")
+            fields[name] = payload[name_end + 2 : end].decode()
+            at = end
+        return fields, at
+    except IndexError:
+        raise FieldError("fields run past the frame") from None
+    except UnicodeDecodeError:
+        raise FieldError("a field is not text") from None
+
+
+def format_fields(fields: dict[str, str]) -> bytes:
+    parts = [bytes([len(fields)])]
+    for name, value in fields.items():
+        raw_name, raw = name.encode(), value.encode()
+        parts.append(bytes([len(raw_name)]) + raw_name + len(raw).to_bytes(2, "big") + raw)
+    return b"".join(parts)
+
+
+def format_frame(kind: int, stream: int, payload: bytes = b"") -> bytes:
+    return HEAD.pack(5 + len(payload), kind, stream) + payload
+
+
+def format_answer(stream: int, code: int, fields: dict[str, str], body: bytes = b"") -> bytes:
+    return format_frame(ANSWER, stream, bytes([code]) + format_fields(fields) + body)
+
+
+def format_ready(stream: int, code: int) -> bytes:
+    return format_frame(READY, stream, bytes([code]) + format_fields({}))
+
+
+class ClientProtocol:
+    """One client connection's states: which streams are open, which have been used, whether it is broken."""
+
+    def __init__(self) -> None:
+        self.buffer = ReceiveBuffer()
+        self.open: set[int] = set()
+        self._used: dict[int, None] = {}
+        self.broken = False
+
+    def feed(self, data: bytes) -> list[FrameEvent]:
+        self.buffer.put(data)
+        return self.received(0)
+
+    def received(self, count: int) -> list[FrameEvent]:
+        """So many bytes were put in the buffer's room: the events they complete."""
+        self.buffer.filled(count)
+        events: list[FrameEvent] = []
+        while not self.broken and len(self.buffer) >= 4:
+            length = int.from_bytes(self.buffer.peek(0, 4), "big")
+            if not LENGTH_LEAST <= length <= LENGTH_MOST:
+                events.append(self._break(f"a frame of length {length}"))
+            elif len(self.buffer) < 4 + length:
+                break
+            else:
+                _, kind, stream = HEAD.unpack(self.buffer.take(HEAD.size))
+                events.append(self._frame(kind, stream, self.buffer.take(length - 5)))
+        if self.broken:
+            self.buffer.skip(len(self.buffer))
+        return events
+
+    def answered(self, stream: int) -> None:
+        """The stream has had its answer, or nobody waits for one."""
+        self.open.discard(stream)
+        self._used[stream] = None
+        if len(self._used) > REMEMBERED:
+            del self._used[next(iter(self._used))]
+
+    def _break(self, reason: str) -> Broken:
+        self.broken = True
+        return Broken(reason)
+
+    def _frame(self, kind: int, stream: int, payload: bytes) -> FrameEvent:
+        if kind == REQUEST:
+            return self._request(stream, payload)
+        if kind == GONE:
+            return Gone(stream)
+        if kind == ASK_READY:
+            return AskReady(stream)
+        return self._break(f"a frame of type {kind}")
+
+    def _request(self, stream: int, payload: bytes) -> FrameEvent:
+        if stream == 0:
+            return self._break("a request on stream 0")
+        if stream in self.open or stream in self._used:
+            return Duplicate(stream)
+        crowded = len(self.open) >= OPEN_MOST
+        self.open.add(stream)
+        if crowded:
+            return BadRequest(stream, f"over {OPEN_MOST} requests are open on this connection", True)
+        try:
+            fields, end = parse_fields(payload)
+        except FieldError as e:
+            return BadRequest(stream, str(e))
+        return Request(stream, fields, payload[end:])
