--- /dev/null
+++ b/hollowhitch/__main__.py
@@ -0,0 +1,98 @@
+"""One real proxy: wires the parts together, and ends them in order on SIGTERM."""
+
+from __future__ import annotations
+
+import dataclasses
+import gc
+import os
+import signal
+import sys
+
+import gevent
+from gevent.event import Event
+
+from hollowhitch import config as configuration
+from hollowhitch.gateway import Clock, Gateway
+from hollowhitch.log import say
+from hollowhitch.net.channel import ChannelFollower
+from hollowhitch.net.clients import Front
+from hollowhitch.net.engines import EnginePools
+from hollowhitch.net.timers import LaterCall
+from hollowhitch.policy.interface import ListKind
+from hollowhitch.protocol.channel import Command
+
+TAKES_S = 0.9  # after SIGTERM: how long what still comes is taken and served
+POLL_S = 0.02
+COLLECT_EVERY = 20_000  # new objects between collections: short ones, but not for every few queries
+
+
+class Proxy:
+    def __init__(self, config: configuration.Config) -> None:
+        self.config = config
+        self.clock = Clock()
+        self.pools = EnginePools(config, self.clock)
+        self.gateway = Gateway(config.settings, config.seed, self.pools, LaterCall, self.clock)
+        self.pools.gateway = self.gateway
+        self.front = Front(config, self.gateway)
+        self._end = Event()
+
+    def apply(self, command: Command) -> None:
+        """A change to the list: first to the pools, so that every engine the module hears of has one."""
+        if command.engines is not None:
+            self.pools.relist(command.engines, command.addresses)
+            self.gateway.relist(command.engines)
+
+    def run(self) -> int:
+        first = True
+        cursor = 0
+        for command in self.config.known:
+            cursor = max(cursor, command.cursor)
+            if first and command.engines is not None:
+                first = False
+                cached = dataclasses.replace(command.engines, kind=ListKind.CACHED)
+                command = dataclasses.replace(command, engines=cached)
+            self.apply(command)
+        if self.config.channel is not None:
+            gevent.spawn(ChannelFollower(self.config.channel, cursor, self.apply).run)
+        gevent.spawn(self.pools.sweep_forever)
+        for number in (signal.SIGTERM, signal.SIGINT):
+            gevent.signal_handler(number, self._end.set)
+        gc.collect()
+        gc.freeze()
+        gc.set_threshold(COLLECT_EVERY, 20, 20)
+        self.front.start()
+        say("proxy", f"{self.config.name} listens on {self.config.listen[0]}:{self.config.listen[1]}")
+        self._end.wait()
+        self._finish()
+        return 0
+
+    def _finish(self) -> None:
+        """Nothing taken is lost: warn, take what is on its way, finish what is open, then go."""
+        say("proxy", f"ending, with {self.gateway.unanswered} open")
+        front = self.front
+        front.closing = True
+        front.warn_all()
+        gevent.sleep(TAKES_S)
+        front.warn_all()  # connections that came meanwhile
+        front.stop_listening()
+        front.closed = True
+        while self.gateway.unanswered or not front.written:
+            gevent.sleep(POLL_S)
+        front.end_all()
+        with gevent.Timeout(1.0, False):
+            while front.connections:
+                gevent.sleep(POLL_S)
+        say("proxy", "ended")
+
+
+def main() -> int:
+    try:
+        config = configuration.read(os.environ)
+    except configuration.ConfigError as e:
+        print(f"hollowhitch: {e}", file=sys.stderr)
+        return 2
+    return Proxy(config).run()
+
+
+if __name__ == "__main__":
+    sys.exit(main())
--- /dev/null
+++ b/hollowhitch/net/channel.py
@@ -0,0 +1,79 @@
+"""Follows the command channel: calls, reads events, calls again from where it was."""
+
+from __future__ import annotations
+
+from collections.abc import Callable
+
+import gevent
+from gevent import socket
+
+from hollowhitch.config import Address
+from hollowhitch.log import say
+from hollowhitch.protocol.buffer import ReceiveBuffer
+from hollowhitch.protocol.channel import (
+    ChannelError,
+    ChannelProtocol,
+    Command,
+    ServerEvent,
+    decode_event,
+    format_call,
+)
+
+PATH = "/cmd/next"
+CONNECT_S = 1.0
+SILENT_S = 2.5  # a comment comes each second; what was missed counts as told 7 s after it was
+PAUSE_S, PAUSE_MOST_S = 0.05, 0.5  # between calls; doubles while they fail
+BAD_MOST = 3  # calls that fail at the same event before it is passed over
+
+
+class ChannelFollower:
+    def __init__(self, address: Address, cursor: int, apply: Callable[[Command], None]) -> None:
+        self._address, self.cursor, self._apply = address, cursor, apply
+        self._gap_at = -1  # the cursor at which a gap was seen
+        self._bad = 0
+
+    def run(self) -> None:
+        pause = PAUSE_S
+        while True:
+            before = self.cursor
+            try:
+                self._follow()
+            except (OSError, ChannelError) as e:
+                say("channel", f"{type(e).__name__}: {e}")
+            pause = PAUSE_S if self.cursor != before else min(2 * pause, PAUSE_MOST_S)
+            gevent.sleep(pause)
+
+    def _follow(self) -> None:
+        with socket.create_connection(self._address, CONNECT_S) as sock:
+            sock.settimeout(SILENT_S)
+            host = f"{self._address[0]}:{self._address[1]}"
+            sock.sendall(format_call(PATH, host, self.cursor))
+            protocol, buffer = ChannelProtocol(), ReceiveBuffer()
+            while not protocol.ended:
+                with buffer.room() as room:
+                    count = sock.recv_into(room)
+                    events = protocol.feed(room[:count]) if count else []
+                if count == 0:
+                    return
+                for event in events:
+                    self.take(event)
+
+    def take(self, event: ServerEvent) -> None:
+        """Apply an event, once and in its turn."""
+        try:
+            command = decode_event(event)
+        except ChannelError as e:
+            self._bad += 1
+            if self._bad < BAD_MOST or not event.id.isdigit():
+                raise
+            # Guards against an event that never can be read: without it no later one would be heard.
+            say("channel", f"passed over: {e}")
+            self.cursor, self._bad = max(self.cursor, int(event.id)), 0
+            return
+        if command.cursor <= self.cursor:
+            return
+        if command.cursor > self.cursor + 1 and self._gap_at != self.cursor:
+            self._gap_at = self.cursor  # called again, the channel sends what was missed, if it still can
+            raise ChannelError(f"event {command.cursor} follows {self.cursor}")
+        self.cursor, self._bad = command.cursor, 0
+        self._apply(command)
--- /dev/null
+++ b/hollowhitch/net/engines.py
@@ -0,0 +1,254 @@
+"""Connections to the engines: a pool for each engine id, shared by its attempts."""
+
+from __future__ import annotations
+
+from collections import deque
+from collections.abc import Mapping
+
+import gevent
+from gevent import socket
+
+from hollowhitch.config import Address, Config
+from hollowhitch.gateway import Attempt, Clock, Gateway
+from hollowhitch.log import say
+from hollowhitch.net.outbox import Outbox
+from hollowhitch.policy.interface import EngineList, EngineState, ListKind, LoadReport, Outcome, ProbeEnded
+from hollowhitch.protocol.lines import EngineProtocol, LineError
+
+OUTBOX_MOST = 1 << 20  # bytes that wait on one connection before another is used
+IDLE_SHARE = 0.8  # of the engine's idle time: closing first keeps a request from crossing its close
+TOLD_S = 0.004  # a STOP is on its way this long before a further attempt may leave
+
+
+class Connection:
+    def __init__(self, pool: Pool, sock: socket.socket) -> None:
+        self.pool, self.sock = pool, sock
+        self.protocol = EngineProtocol(pool.owner.reports)
+        self.outbox = Outbox(sock, OUTBOX_MOST)
+        self.attempts: dict[str, Attempt] = {}  # by ref: those written or about to be
+        self.written: set[str] = set()
+        self.probes: dict[str, int] = {}  # tag: when it was sent
+        self.used_us = pool.owner.clock.now_us()
+        self.closed = self.retired = False  # retired: carries nothing new
+        gevent.spawn(self._write)
+        gevent.spawn(self._read)
+
+    def may_carry(self, attempt: Attempt) -> bool:
+        ref = attempt.query.ref
+        room = len(self.attempts) < self.pool.owner.config.streams_per_connection and not self.outbox.full
+        usable = room and not self.closed and not self.retired
+        return usable and ref not in self.attempts and self.protocol.may_carry(ref)
+
+    def send(self, attempt: Attempt) -> None:
+        self.attempts[attempt.query.ref] = attempt
+        attempt.carrier = self
+        size = len(attempt.query.statement) + 200
+        self.outbox.put(lambda: self._request(attempt), size)
+
+    def _request(self, attempt: Attempt) -> bytes:
+        """The request's bytes, at the last moment before they are written."""
+        query = attempt.query
+        if attempt.ended or self.attempts.get(query.ref) is not attempt:
+            return b""
+        owner = self.pool.owner
+        wait_ms = (attempt.until_us - owner.clock.now_us()) // 1000
+        if not self.pool.ready or wait_ms < 1:
+            # Guards the drain rule: the engine may have begun to drain since the module chose it.
+            del self.attempts[query.ref]
+            gevent.spawn(owner.gateway.ended, attempt, Outcome.MOOT)
+            return b""
+        fields = {"class": query.arrived.class_name, "wait": str(wait_ms)}
+        if query.idempotency_key:
+            fields["once"] = query.idempotency_key
+        if attempt.grant_mb > 0:
+            fields["workmem"] = str(max(1, round(attempt.grant_mb)))
+        self.written.add(query.ref)
+        return self.protocol.ask(query.ref, fields, query.statement)
+
+    def give_up(self, attempt: Attempt) -> float | None:
+        ref = attempt.query.ref
+        if self.attempts.get(ref) is not attempt:
+            return None
+        del self.attempts[ref]
+        self.used_us = self.pool.owner.clock.now_us()
+        if ref not in self.written:
+            return None
+        self.written.discard(ref)
+        self.outbox.put(self.protocol.give_up(ref))
+        return TOLD_S
+
+    def probe(self, tag: str) -> None:
+        self.probes[tag] = self.pool.owner.clock.now_us()
+        self.outbox.put(lambda: self.protocol.hello(tag), 50)
+
+    def _write(self) -> None:
+        try:
+            self.outbox.run()
+        except OSError as e:
+            self.close(f"write: {e}")
+
+    def _read(self) -> None:
+        protocol = self.protocol
+        try:
+            while not self.closed:
+                with protocol.buffer.room() as room:
+                    count = self.sock.recv_into(room)
+                if count == 0:
+                    return self.close("")
+                for end in protocol.received(count):
+                    if end.reason:
+                        say("engine", f"{self.pool.id}: {end.reason}")
+                    self._finished(end.ref, end.outcome, end.report, end.body)
+                if protocol.output:
+                    self.outbox.put(bytes(protocol.output))
+                    protocol.output.clear()
+        except OSError as e:
+            self.close(f"read: {e}")
+        except LineError as e:
+            say("engine", f"{self.pool.id} does not follow the protocol: {e}")
+            self.close("")
+
+    def _finished(self, ref: str, outcome: Outcome, report: LoadReport | None, body: bytes) -> None:
+        owner = self.pool.owner
+        self.used_us = owner.clock.now_us()
+        if ref in self.probes:
+            elapsed = self.used_us - self.probes.pop(ref)
+            owner.gateway.probed(ProbeEnded(self.pool.id, outcome, elapsed, report))
+            return
+        attempt = self.attempts.pop(ref, None)
+        self.written.discard(ref)
+        if attempt is not None:
+            owner.gateway.ended(attempt, outcome, report, body)
+
+    def close(self, why: str) -> None:
+        """What was written may have run; what was not never did."""
+        if self.closed:
+            return
+        self.closed = True
+        if why and self.attempts:
+            say("engine", f"{self.pool.id}: {why}, with {len(self.attempts)} attempts")
+        self.outbox.close()
+        self.sock.close()
+        if self in self.pool.connections:
+            self.pool.connections.remove(self)
+        attempts, written = list(self.attempts.items()), self.written
+        self.attempts, self.written = {}, set()
+        for ref, attempt in attempts:
+            outcome = Outcome.RESET if ref in written else Outcome.CONNECT_FAILED
+            self.pool.owner.gateway.ended(attempt, outcome)
+        for _ in self.probes:
+            self.pool.owner.gateway.probed(ProbeEnded(self.pool.id, Outcome.RESET, 0, None))
+
+
+class Pool:
+    """One engine's connections. It is the engine id's, never the address's: addresses are used again."""
+
+    def __init__(self, owner: EnginePools, engine: str, address: Address) -> None:
+        self.owner, self.id, self.address = owner, engine, address
+        self.ready = True
+        self.connections: list[Connection] = []
+        self.waiting: deque[Attempt] = deque()
+        self.dialing = False
+
+    def start(self, attempt: Attempt) -> None:
+        for connection in self.connections:
+            if connection.may_carry(attempt):
+                connection.send(attempt)
+                return
+        if len(self.connections) >= self.owner.config.engine_sockets_most:
+            self.owner.gateway.ended(attempt, Outcome.CONNECT_FAILED)
+            return
+        self.waiting.append(attempt)
+        if not self.dialing:
+            self.dialing = True
+            gevent.spawn(self._dial)
+
+    def _dial(self) -> None:
+        address = self.address
+        try:
+            sock = socket.create_connection(address, self.owner.config.dial_timeout_us / 1e6)
+        except OSError as e:
+            say("engine", f"{self.id}: connect: {e}")
+            self.dialing = False
+            waiting, self.waiting = self.waiting, deque()
+            for attempt in waiting:
+                self.owner.gateway.ended(attempt, Outcome.CONNECT_FAILED)
+            return
+        self.dialing = False
+        sock.settimeout(None)
+        sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
+        if address != self.address:  # it has moved meanwhile; whoever is there now is another engine
+            sock.close()
+        else:
+            self.connections.append(Connection(self, sock))
+        waiting, self.waiting = self.waiting, deque()
+        for attempt in waiting:
+            if not attempt.ended:
+                self.start(attempt)
+
+    def move(self, address: Address) -> None:
+        if address != self.address:
+            self.address = address
+            for connection in self.connections:  # they finish what they carry
+                connection.retired = True
+
+    def close_idle(self, idle_us: int) -> None:
+        now = self.owner.clock.now_us()
+        for connection in list(self.connections):
+            unused = not connection.attempts and not connection.probes
+            if unused and (not self.ready or connection.retired or now - connection.used_us >= idle_us):
+                connection.close("")
+
+
+class EnginePools:
+    gateway: Gateway  # set once both stand
+
+    def __init__(self, config: Config, clock: Clock) -> None:
+        self.config, self.clock = config, clock
+        self.reports = config.settings.reports_with_answers
+        self.pools: dict[str, Pool] = {}
+        self._tags = 0
+
+    def start(self, attempt: Attempt) -> None:
+        pool = self.pools.get(attempt.engine)
+        if pool is None or not pool.ready:
+            self.gateway.ended(attempt, Outcome.MOOT)
+            return
+        pool.start(attempt)
+
+    def give_up(self, attempt: Attempt) -> float | None:
+        carrier = attempt.carrier
+        return carrier.give_up(attempt) if isinstance(carrier, Connection) else None
+
+    def probe(self, engine: str) -> None:
+        pool = self.pools.get(engine)
+        if pool is None or not pool.connections:
+            self.gateway.probed(ProbeEnded(engine, Outcome.CONNECT_FAILED, 0, None))
+            return
+        self._tags += 1
+        pool.connections[0].probe(f"p{self._tags}")
+
+    def relist(self, engines: EngineList, addresses: Mapping[str, Address]) -> None:
+        named = {e.id for e in engines.engines}
+        for engine in engines.engines:
+            pool = self.pools.get(engine.id)
+            address = addresses.get(engine.id)
+            if pool is None and address is not None:
+                pool = self.pools[engine.id] = Pool(self, engine.id, address)
+            elif pool is not None and address is not None:
+                pool.move(address)
+            if pool is not None:
+                pool.ready = engine.state is EngineState.READY
+        if engines.kind is not ListKind.DELTA:
+            for name in self.pools.keys() - named:
+                self.pools[name].ready = False
+
+    def sweep_forever(self) -> None:
+        """Close what has been idle, before the engines would."""
+        idle_us = int(self.config.keepalive_us * IDLE_SHARE)
+        while True:
+            gevent.sleep(min(idle_us / 4e6, 1.0))
+            for name, pool in list(self.pools.items()):
+                pool.close_idle(idle_us)
+                if not pool.ready and not pool.connections and not pool.waiting and not pool.dialing:
+                    del self.pools[name]
--- a/hollowhitch/protocol/frames.py
+++ b/hollowhitch/protocol/frames.py
@@ -2,9 +2,14 @@
 
 from __future__ import annotations
 
+import hashlib
+import math
+import re
 import struct
+from collections.abc import Mapping
 from dataclasses import dataclass
 
+from hollowhitch.policy.interface import Effect, QueryArrived, QueryClass
 from hollowhitch.protocol.buffer import ReceiveBuffer
 
 LENGTH_LEAST, LENGTH_MOST = 5, 262_144
@@ -14,6 +19,10 @@
 OPEN_MOST = 32  # requests open on one connection
 REMEMBERED = 1024  # answered streams that are still known as used
 
+WORD = re.compile(r"[0-9A-Za-z_.:-]{1,128}")  # what may be passed on as a word of an engine's line
+REF = re.compile(r"[0-9A-Fa-f]{16}")
+ALLOW_MOST_MS = 3_600_000
+
 HEAD = struct.Struct(">IBI")
 
 
@@ -45,7 +54,7 @@
 
 @dataclass(frozen=True, slots=True)
 class Duplicate:
-    """A request on a stream that was used before: it belongs to no request, since an answer would be a second."""
+    """A request on a stream that was used before: an answer there would be a second one."""
 
     stream: int
 
@@ -87,6 +96,52 @@
         raise FieldError("a field is not text") from None
 
 
+def _amount(fields: Mapping[str, str], name: str, default: float | None = None) -> float:
+    text = fields.get(name)
+    if text is None and default is not None:
+        return default
+    try:
+        value = float(text or "")
+    except ValueError:
+        value = math.nan
+    if not 0 <= value < math.inf:
+        raise FieldError(f"{name} is not a number from 0 up")
+    return value
+
+
+def _word(fields: Mapping[str, str], name: str, form: re.Pattern[str]) -> str:
+    text = fields.get(name, "")
+    if not form.fullmatch(text):
+        raise FieldError(f"{name} is missing or can't be passed on")
+    return text
+
+
+def read_query(
+    request: Request, classes: Mapping[str, QueryClass], data_set: int
+) -> tuple[str, QueryArrived, str | None]:
+    """The engines' id, the query as the module is told of it, and the idempotency key."""
+    fields = request.fields
+    ref = _word(fields, "ref", REF)
+    cls = classes.get(fields.get("service", ""))
+    if cls is None:
+        raise FieldError(f"service {fields.get('service', '')[:40]!r} is unknown")
+    keyed = cls.effect is Effect.KEYED  # without its key a repeat would run twice
+    replay = _word(fields, "replay", WORD) if keyed or "replay" in fields else None
+    key = fields.get("lookup") or None
+    arrived = QueryArrived(
+        id="",
+        class_name=cls.name,
+        tenant=fields.get("project") or None,
+        key=int.from_bytes(hashlib.blake2b(key.encode(), digest_size=6).digest(), "big") if key else None,
+        expires_in_us=int(min(_amount(fields, "allow"), ALLOW_MOST_MS) * 1000),
+        cost_us=int(min(_amount(fields, "effort", 0.0), ALLOW_MOST_MS) * 1000),
+        memory_mb=min(_amount(fields, "need_mb", 0.0), 1e9),
+        data_set=data_set,
+        is_retry=fields.get("dup") == "1",
+    )
+    return ref, arrived, replay
+
+
 def format_fields(fields: dict[str, str]) -> bytes:
     parts = [bytes([len(fields)])]
     for name, value in fields.items():
--- a/hollowhitch/protocol/tables.py
+++ b/hollowhitch/protocol/tables.py
@@ -21,6 +21,7 @@
 TABLE_FOLLOWS = {"from", "join", "into", "update", "table", "copy", "using", "truncate", "merge", "overwrite"}
 BETWEEN = {"only", "lateral", "table", "if", "not", "exists", "into", "from", "overwrite"}
 QUERY_BEGINS = {"select", "with", "values", "insert", "update", "delete", "merge"}
+TABLES_END = {"where", "set", "select", "group", "order", "values", "having"}
 UNCOUNTED = {"staging"}
 
 
@@ -91,7 +92,7 @@
             level.wants = False
             if len(parts) > 1 and parts[-2].lower() not in UNCOUNTED and (group := GROUP.search(parts[-2])):
                 return int(group.group(1))
-        elif kind == "word" and word in ("where", "set", "select", "on", "group", "order", "values", "having"):
+        elif kind == "word" and word in TABLES_END:
             level.wants = level.listing = False
         before, i = word, i + 1
     return 0
