--- a/hollowhitch/__main__.py
+++ b/hollowhitch/__main__.py
@@ -34,7 +34,7 @@
         self.gateway = Gateway(config.settings, config.seed, self.pools, LaterCall, self.clock)
         self.pools.gateway = self.gateway
         self.front = Front(config, self.gateway)
-        self._end = Event()
+        self.end = Event()  # set to end in order
 
     def apply(self, command: Command) -> None:
         """A change to the list: first to the pools, so that every engine the module hears of has one."""
@@ -42,9 +42,8 @@
             self.pools.relist(command.engines, command.addresses)
             self.gateway.relist(command.engines)
 
-    def run(self) -> int:
-        first = True
-        cursor = 0
+    def start(self) -> None:
+        first, cursor = True, 0
         for command in self.config.known:
             cursor = max(cursor, command.cursor)
             if first and command.engines is not None:
@@ -55,18 +54,21 @@
         if self.config.channel is not None:
             gevent.spawn(ChannelFollower(self.config.channel, cursor, self.apply).run)
         gevent.spawn(self.pools.sweep_forever)
+        self.front.start()
+        say("proxy", f"{self.config.name} listens on {self.front.address[0]}:{self.front.address[1]}")
+
+    def run(self) -> int:
         for number in (signal.SIGTERM, signal.SIGINT):
-            gevent.signal_handler(number, self._end.set)
+            gevent.signal_handler(number, self.end.set)
         gc.collect()
         gc.freeze()
         gc.set_threshold(COLLECT_EVERY, 20, 20)
-        self.front.start()
-        say("proxy", f"{self.config.name} listens on {self.config.listen[0]}:{self.config.listen[1]}")
-        self._end.wait()
-        self._finish()
+        self.start()
+        self.end.wait()
+        self.finish()
         return 0
 
-    def _finish(self) -> None:
+    def finish(self) -> None:
         """Nothing taken is lost: warn, take what is on its way, finish what is open, then go."""
         say("proxy", f"ending, with {self.gateway.unanswered} open")
         front = self.front
--- a/hollowhitch/config.py
+++ b/hollowhitch/config.py
@@ -11,7 +11,7 @@
 
 from hollowhitch.policy.interface import Settings
 from hollowhitch.protocol.channel import ChannelError, Command, parse_address, parse_command
-from hollowhitch.settings import parse_settings
+from hollowhitch.settings import SettingsError, parse_settings
 
 Address = tuple[str, int]
 
@@ -78,9 +78,9 @@
             raise ConfigError(f"{self.key(name)}: " + ("is missing" if value is None else "must be text"))
         return value
 
-    def address(self, name: str, default: str | None = None) -> Address:
+    def address(self, name: str, default: str | None = None, least_port: int = 1) -> Address:
         try:
-            return parse_address(self.text(name, default))
+            return parse_address(self.text(name, default), least_port)
         except ConfigError:
             raise
         except ValueError as e:
@@ -117,11 +117,11 @@
         raise ConfigError(f"limits.sockets: must be above {2 * SPARE_SOCKETS}, not {sockets}")
     try:
         parsed = parse_settings(settings.raw)
-    except (ValueError, TypeError, KeyError, AttributeError) as e:
-        raise ConfigError(f"settings: {e}") from None
+    except SettingsError as e:
+        raise ConfigError(f"settings.{e}") from None
     return Config(
         name=top.text("name", env.get("ROUTER_NAME")),
-        listen=top.address("listen", env.get("ROUTER_LISTEN")),
+        listen=top.address("listen", env.get("ROUTER_LISTEN"), 0),  # 0: any free port
         seed=_seed(top.text("seed", "0")),
         channel=top.address("channel") if top.raw.get("channel") else None,
         known=_known(top.table("known", optional=True)),
--- a/hollowhitch/gateway.py
+++ b/hollowhitch/gateway.py
@@ -171,7 +171,10 @@
             actions = self.controller.acts
             self._give_up_on(getattr(event, "id", None), event)
         for action in actions:
-            self._act(action)
+            try:
+                self._act(action)
+            except Exception as e:  # one action must not take the next ones with it
+                say("fault", f"{action}: {type(e).__name__}: {e}")
         if isinstance(event, api.AttemptEnded | api.ClientLeft):
             self._forget(event.id)
 
@@ -225,7 +228,11 @@
             return
         wait = (until - now) / 1e6
         attempt.timer = self._call_later(wait, lambda: self._stop(attempt, api.Outcome.TIMEOUT))
-        self.backend.start(attempt)
+        try:
+            self.backend.start(attempt)
+        except Exception as e:  # the module waits for exactly one word on each attempt
+            say("fault", f"starting an attempt: {type(e).__name__}: {e}")
+            self.ended(attempt, api.Outcome.CONNECT_FAILED)
 
     def _stop(self, attempt: Attempt, outcome: api.Outcome) -> None:
         """Give an attempt up, and say so once its engine can be taken to know."""
--- a/hollowhitch/net/clients.py
+++ b/hollowhitch/net/clients.py
@@ -36,6 +36,8 @@
             self._read()
         except OSError:
             pass  # a client that is gone, in whatever way
+        except Exception as e:  # a fault of ours costs this connection, with its queries given up below
+            say("fault", f"reading from a client: {type(e).__name__}: {e}")
         finally:
             for query in list(self.queries.values()):
                 self.front.gateway.left(query)
@@ -178,6 +180,10 @@
         for connection in list(self.connections):
             connection.warn()
 
+    @property
+    def address(self) -> tuple[str, int]:
+        return self._server.address
+
     def stop_listening(self) -> None:
         self._server.close()
 
--- a/hollowhitch/net/engines.py
+++ b/hollowhitch/net/engines.py
@@ -16,7 +16,8 @@
 from hollowhitch.protocol.lines import EngineProtocol, LineError
 
 OUTBOX_MOST = 1 << 20  # bytes that wait on one connection before another is used
-IDLE_SHARE = 0.8  # of the engine's idle time: closing first keeps a request from crossing its close
+IDLE_SHARE = 0.7  # of the engine's idle time: closing first keeps a request from crossing its close
+SWEEPS = 10  # in that time
 TOLD_S = 0.004  # a STOP is on its way this long before a further attempt may leave
 
 
@@ -28,7 +29,7 @@
         self.attempts: dict[str, Attempt] = {}  # by ref: those written or about to be
         self.written: set[str] = set()
         self.probes: dict[str, int] = {}  # tag: when it was sent
-        self.used_us = pool.owner.clock.now_us()
+        self.used_us = self.opened_us = pool.owner.clock.now_us()
         self.closed = self.retired = False  # retired: carries nothing new
         gevent.spawn(self._write)
         gevent.spawn(self._read)
@@ -107,6 +108,9 @@
         except LineError as e:
             say("engine", f"{self.pool.id} does not follow the protocol: {e}")
             self.close("")
+        except Exception as e:  # a fault of ours: its attempts must end all the same
+            say("fault", f"reading from {self.pool.id}: {type(e).__name__}: {e}")
+            self.close("fault")
 
     def _finished(self, ref: str, outcome: Outcome, report: LoadReport | None, body: bytes) -> None:
         owner = self.pool.owner
@@ -186,7 +190,12 @@
             if not attempt.ended:
                 self.start(attempt)
 
-    def move(self, address: Address) -> None:
+    def move(self, address: Address, started_us: int) -> None:
+        """The list names it anew. Guards against connections to a process that is no more and whose machine
+        never said so: what was opened before the present process started is dead."""
+        for connection in list(self.connections):
+            if connection.opened_us < started_us:
+                connection.close("restarted")
         if address != self.address:
             self.address = address
             for connection in self.connections:  # they finish what they carry
@@ -236,7 +245,7 @@
             if pool is None and address is not None:
                 pool = self.pools[engine.id] = Pool(self, engine.id, address)
             elif pool is not None and address is not None:
-                pool.move(address)
+                pool.move(address, engine.started_us)
             if pool is not None:
                 pool.ready = engine.state is EngineState.READY
         if engines.kind is not ListKind.DELTA:
@@ -247,7 +256,7 @@
         """Close what has been idle, before the engines would."""
         idle_us = int(self.config.keepalive_us * IDLE_SHARE)
         while True:
-            gevent.sleep(min(idle_us / 4e6, 1.0))
+            gevent.sleep(min(idle_us / SWEEPS / 1e6, 1.0))
             for name, pool in list(self.pools.items()):
                 pool.close_idle(idle_us)
                 if not pool.ready and not pool.connections and not pool.waiting and not pool.dialing:
--- a/hollowhitch/protocol/channel.py
+++ b/hollowhitch/protocol/channel.py
@@ -33,9 +33,9 @@
     data: str
 
 
-def parse_address(text: str) -> tuple[str, int]:
+def parse_address(text: str, least_port: int = 1) -> tuple[str, int]:
     host, colon, port = text.rpartition(":")
-    if not colon or not host or not port.isdigit() or not 0 < int(port) < 65536:
+    if not colon or not host or not port.isdecimal() or not least_port <= int(port) < 65536:
         raise ValueError(f"{text!r} is not host:port")
     return host.strip("[]"), int(port)
 
--- a/hollowhitch/settings.py
+++ b/hollowhitch/settings.py
@@ -2,6 +2,8 @@
 
 from __future__ import annotations
 
+import math
+from collections.abc import Mapping
 from typing import Any
 
 from hollowhitch.policy.interface import (
@@ -19,6 +21,7 @@
 )
 
 EFFECTS = {"retryable": Effect.SAFE, "dedup": Effect.KEYED, "fragile": Effect.UNSAFE}
+SCOPES = {scope.value: scope for scope in Scope}
 WHEN_SHORT = {"queue": WhenShort.WAIT, "trim": WhenShort.SHRINK, "swap": WhenShort.PAGE}
 REPORT_FIELDS = {
     "cpu": "util",
@@ -32,122 +35,188 @@
 }
 NO_REPORT: dict[str, float | None] = dict.fromkeys(REPORT_FIELDS.values())
 
+NEEDED = object()  # in place of a default
+
 
 class SettingsError(ValueError):
     """Settings that lack a key, or hold one that cannot be used."""
 
 
 def parse_report(text: str, between: str) -> LoadReport:
-    """A load report: name:value pairs; names nobody knows are passed over."""
+    """A load report: name:value pairs; names nobody knows are passed over, as is what is no amount (guards
+    the module's averages: one NaN would stay in them for good)."""
     found = dict(NO_REPORT)
     for pair in text.split(between):
         name, _, value = pair.partition(":")
-        if name in REPORT_FIELDS:
-            found[REPORT_FIELDS[name]] = float(value)
+        if name in REPORT_FIELDS and 0 <= (amount := _float(value)) < math.inf:
+            found[REPORT_FIELDS[name]] = amount
     return LoadReport(**found)
 
 
-def parse_settings(info: dict[str, Any]) -> Settings:
-    """Turn the start-up object into settings; keys nobody knows are passed over."""
-
-    def need(table: dict[str, Any], key: str) -> Any:
-        if key not in table:
-            raise SettingsError(f"settings lack {key}")
-        return table[key]
-
-    extra, bounds, rules = info.get("extra") or {}, need(info, "bounds"), need(info, "rules")
-    prices, load = info.get("deductions") or {}, info.get("loadInfo") or {}
-    names = info.get("kinds") or []
-    cores, sizes = extra.get("kindCores") or [None] * len(names), extra.get("sizeMb") or [None] * len(names)
-    for key, column in (("kindCores", cores), ("sizeMb", sizes)):
-        if len(column) != len(names):
-            raise ValueError(f"{key} does not match kinds")
-    rows = need(info, "classes")
-
-    def column(key: str, default: Any) -> list[Any]:
-        values = extra.get(key)
-        if values is None:
-            return [default] * len(rows)
-        if len(values) != len(rows):
-            raise ValueError(f"{key} does not match classes")
+def _float(text: str) -> float:
+    try:
+        return float(text)
+    except ValueError:
+        return math.nan
+
+
+class _Table:
+    """A JSON object of the settings; each complaint names its key. None stands for a key left out."""
+
+    def __init__(self, raw: Any, path: str) -> None:
+        if not isinstance(raw, dict):
+            raise SettingsError(f"{path or 'settings'} must be an object")
+        self.raw, self.path = raw, path
+
+    def key(self, name: str) -> str:
+        return f"{self.path}.{name}" if self.path else name
+
+    def get(self, name: str, default: Any = NEEDED) -> Any:
+        value = self.raw.get(name)
+        if value is not None:
+            return value
+        if default is NEEDED:
+            raise SettingsError(f"{self.key(name)} is missing")
+        return default
+
+    def number(self, name: str, default: Any = NEEDED) -> Any:
+        return self.check(name, self.get(name, default))
+
+    def whole(self, name: str, default: Any = NEEDED) -> Any:
+        value = self.number(name, default)
+        return value if value is None else int(value)
+
+    def check(self, name: str, value: Any) -> Any:
+        """A number, or None where that is the default."""
+        if value is not None and (isinstance(value, bool) or not isinstance(value, int | float)):
+            raise SettingsError(f"{self.key(name)} must be a number, not {value!r}")
+        return value
+
+    def flag(self, name: str) -> bool:
+        return bool(self.get(name, False))
+
+    def table(self, name: str, default: Any = NEEDED) -> _Table:
+        return _Table(self.get(name, default), self.key(name))
+
+    def rows(self, name: str, default: Any = NEEDED) -> list[_Table]:
+        rows = self.get(name, default)
+        if not isinstance(rows, list | tuple):
+            raise SettingsError(f"{self.key(name)} must be a list")
+        return [_Table(row, f"{self.key(name)}[{i}]") for i, row in enumerate(rows)]
+
+    def names(self, name: str) -> tuple[str, ...]:
+        values = self.get(name, ())
+        if not isinstance(values, list | tuple) or not all(isinstance(v, str) for v in values):
+            raise SettingsError(f"{self.key(name)} must be a list of names")
+        return tuple(values)
+
+    def column(self, name: str, default: Any, of: str, count: int) -> list[Any]:
+        """One value for each of `count` entries of the list `of`."""
+        values = self.get(name, [default] * count)
+        if not isinstance(values, list) or len(values) != count:
+            raise SettingsError(f"{self.key(name)} does not match {of}")
         return values
 
-    threads, loads = column("parallelism", 1), column("holdsTables", False)
-    waits = column("yieldsToLoads", False)
-    classes = []
-    for i, c in enumerate(rows):
-        effect = need(c, "semantics")
-        if effect not in EFFECTS:
-            raise ValueError(f"semantics: {effect!r} is unknown")
-        classes.append(
-            QueryClass(
-                name=need(c, "name"),
-                aim_us=int(need(c, "goalTimeUs")),
-                aim_stretch=float(c.get("aimStretch") or 0),
-                deadline_us=int(need(c, "deadlineUs")),
-                worth=float(c.get("worth", 1)),
-                late_share=float(c.get("lateShare") or 0),
-                effect=EFFECTS[effect],
-                scope=Scope(c.get("keyScope") or "all"),
-                repeat_window_us=int(c.get("repeatWindowUs") or 0),
-                in_order=bool(c.get("sequential")),
-                threads=int(threads[i]),
-                is_load=bool(loads[i]),
-                waits_for_loads=bool(waits[i]),
-                only_zones=tuple(c["areasOnly"]) if c.get("areasOnly") else None,
-                only_kinds=tuple(c["kindsOnly"]) if c.get("kindsOnly") else None,
-            )
+    def choice(self, name: str, choices: Mapping[str, Any], default: Any = NEEDED) -> Any:
+        value = self.get(name, default)
+        if value not in choices:
+            raise SettingsError(f"{self.key(name)}: {value!r} is unknown")
+        return choices[value]
+
+
+def parse_settings(info: Any) -> Settings:
+    """Turn the settings object into settings; keys nobody knows are passed over."""
+    top = _Table(info, "")
+    bounds, rules = top.table("bounds"), top.table("rules")
+    extra, prices, load = (top.table(name, {}) for name in ("extra", "deductions", "loadInfo"))
+    kinds, rows = top.names("kinds"), top.rows("classes")
+    cores = extra.column("kindCores", None, "kinds", len(kinds))
+    sizes = extra.column("sizeMb", None, "kinds", len(kinds))
+    threads = extra.column("parallelism", 1, "classes", len(rows))
+    loads = extra.column("holdsTables", False, "classes", len(rows))
+    waits = extra.column("yieldsToLoads", False, "classes", len(rows))
+    for name, values in (("kindCores", cores), ("sizeMb", sizes), ("parallelism", threads)):
+        for value in values:
+            extra.check(name, value)
+    try:
+        return Settings(
+            gateway=top.whole("position", 0),
+            gateways=top.whole("replicasOfMe", 1),
+            zone=top.get("myZone", None),
+            zones=top.names("areas"),
+            kinds=tuple(Kind(*row) for row in zip(kinds, cores, sizes, strict=True)),
+            classes=tuple(_query_class(c, *row) for c, *row in zip(rows, threads, loads, waits, strict=True)),
+            tenants=tuple(
+                Tenant(t.get("name"), t.number("quotaPerS", None), float(t.number("share", 0)))
+                for t in top.rows("accounts", ())
+            ),
+            over_share_worth=float(top.number("overShareWorth", 1)),
+            limits=Limits(
+                max_attempts=bounds.whole("maxAttempts"),
+                cancel=bounds.flag("cancel"),
+                second_copies=bounds.flag("secondCopies"),
+                probes=bounds.flag("probes"),
+                messages=bounds.flag("peerMessages"),
+                retry_after_us=bounds.whole("maxRetryAfterUs", 0) if bounds.flag("retryAfter") else None,
+            ),
+            rules=_rules(rules),
+            prices=Prices(
+                cross_zone=float(prices.number("crossZone", 0)),
+                waste=float(prices.number("waste", 0)),
+                probe=float(prices.number("probe", 0)),
+                late_fail=float(prices.number("lateFail", 0)),
+                message=float(prices.number("peer", 0)),
+            ),
+            asks_for_list=top.get("discovery", None) == "subscribe",
+            reports_with_answers=load.get("how", None) == "answers",
+            reports_with_probes=load.get("how", None) in ("answers", "probe"),
+            weight_is_size=top.get("weights", None) in ("nominal", "rough"),
+            tick_us=top.whole("granularityUs", 0) or 1000,
+            grants=extra.flag("grantsCount"),
+            priorities=extra.flag("lanesCount"),
+            most_grant=extra.number("mostGrant", None),
+            bills=extra.flag("bills"),
+            progress_us=extra.whole("progressUs", 0),
+            when_short=WHEN_SHORT.get(extra.get("whenShort", "")),
         )
-    share = rules.get("extraPerRequest")
-    return Settings(
-        gateway=int(info.get("position", 0)),
-        gateways=int(info.get("replicasOfMe", 1)),
-        zone=info.get("myZone"),
-        zones=tuple(info.get("areas") or ()),
-        kinds=tuple(Kind(*row) for row in zip(names, cores, sizes, strict=True)),
-        classes=tuple(classes),
-        tenants=tuple(
-            Tenant(t["name"], t.get("quotaPerS"), float(t.get("share") or 0))
-            for t in info.get("accounts") or ()
-        ),
-        over_share_worth=float(info.get("overShareWorth", 1)),
-        limits=Limits(
-            max_attempts=int(need(bounds, "maxAttempts")),
-            cancel=bool(bounds.get("cancel")),
-            second_copies=bool(bounds.get("secondCopies")),
-            probes=bool(bounds.get("probes")),
-            messages=bool(bounds.get("peerMessages")),
-            retry_after_us=int(bounds.get("maxRetryAfterUs") or 0) if bounds.get("retryAfter") else None,
-        ),
-        rules=Rules(
-            answer_slack_us=int(rules.get("answerSlackUs") or 0),
-            drain_grace_us=int(rules.get("drainGraceUs") or 0),
-            must_ask_us=int(rules["mustAskInUs"]) if rules.get("mustAskInUs") else None,
-            start_capacity=float(rules.get("startCapacity", 1)),
-            cold_us=int(rules.get("coldUs") or 0),
-            tip_multiple=float(rules.get("tipMultiple") or 0),
-            tip_after_us=int(rules.get("tipAfterUs") or 0),
-            key_rest_us=int(rules.get("keyRestUs") or 0),
-            budget_share=float(share) if share is not None else None,
-            budget_free=float(rules.get("freeResends") or 0),
-            budget_window_us=int(rules.get("budgetWindowUs") or 0),
-        ),
-        prices=Prices(
-            cross_zone=float(prices.get("crossZone") or 0),
-            waste=float(prices.get("waste") or 0),
-            probe=float(prices.get("probe") or 0),
-            late_fail=float(prices.get("lateFail") or 0),
-            message=float(prices.get("peer") or 0),
-        ),
-        asks_for_list=info.get("discovery") == "subscribe",
-        reports_with_answers=load.get("how") == "answers",
-        reports_with_probes=load.get("how") in ("answers", "probe"),
-        weight_is_size=info.get("weights") in ("nominal", "rough"),
-        tick_us=int(info.get("granularityUs") or 1000),
-        grants=bool(extra.get("grantsCount")),
-        priorities=bool(extra.get("lanesCount")),
-        most_grant=extra.get("mostGrant"),
-        bills=bool(extra.get("bills")),
-        progress_us=int(extra.get("progressUs") or 0),
-        when_short=WHEN_SHORT.get(extra.get("whenShort")),
+    except SettingsError:
+        raise
+    except ValueError as e:  # what the types themselves refuse
+        raise SettingsError(str(e)) from None
+
+
+def _query_class(c: _Table, threads: Any, is_load: Any, waits: Any) -> QueryClass:
+    return QueryClass(
+        name=c.get("name"),
+        aim_us=c.whole("goalTimeUs"),
+        aim_stretch=float(c.number("aimStretch", 0)),
+        deadline_us=c.whole("deadlineUs"),
+        worth=float(c.number("worth", 1)),
+        late_share=float(c.number("lateShare", 0)),
+        effect=c.choice("semantics", EFFECTS),
+        scope=c.choice("keyScope", SCOPES, "all"),
+        repeat_window_us=c.whole("repeatWindowUs", 0),
+        in_order=c.flag("sequential"),
+        threads=int(threads),
+        is_load=bool(is_load),
+        waits_for_loads=bool(waits),
+        only_zones=c.names("areasOnly") or None,
+        only_kinds=c.names("kindsOnly") or None,
+    )
+
+
+def _rules(rules: _Table) -> Rules:
+    share = rules.number("extraPerRequest", None)
+    return Rules(
+        answer_slack_us=rules.whole("answerSlackUs", 0),
+        drain_grace_us=rules.whole("drainGraceUs", 0),
+        must_ask_us=rules.whole("mustAskInUs", 0) or None,
+        start_capacity=float(rules.number("startCapacity", 1)),
+        cold_us=rules.whole("coldUs", 0),
+        tip_multiple=float(rules.number("tipMultiple", 0)),
+        tip_after_us=rules.whole("tipAfterUs", 0),
+        key_rest_us=rules.whole("keyRestUs", 0),
+        budget_share=float(share) if share is not None else None,
+        budget_free=float(rules.number("freeResends", 0)),
+        budget_window_us=rules.whole("budgetWindowUs", 0),
     )
--- /dev/null
+++ b/tests/test_channel.py
@@ -0,0 +1,80 @@
+"""The command channel: events applied once, in their turn, however they arrive."""
+
+from __future__ import annotations
+
+import pytest
+from hypothesis import given
+from hypothesis import strategies as st
+
+from hollowhitch.net.channel import BAD_MOST, ChannelFollower
+from hollowhitch.policy.interface import EngineState, ListKind
+from hollowhitch.protocol.channel import ChannelError, ChannelProtocol, ServerEvent, decode_event
+
+HEAD = b"HTTP/1.1 200 OK\r\nContent-Type: text/event-stream\r\nTransfer-Encoding: chunked\r\n\r\n"
+ROW = '{"id":"s-1","host_port":"10.1.0.9:8443","locality":"east","flavor":"std","cell":2,"phase":"%s",' \
+      '"size":4,"up_since_ms":7}'
+
+
+def event(cursor: int, phase: str = "active") -> ServerEvent:
+    body = f'{{"cursor":{cursor},"nodes":{{"revision":1,"complete":false,"members":[{ROW % phase}]}}}}'
+    return ServerEvent(str(cursor), body)
+
+
+def chunk(text: str) -> bytes:
+    return b"%x\r\n%s\r\n" % (len(text), text.encode())
+
+
+@given(st.lists(st.integers(1, 60), max_size=8))
+def test_events_come_out_however_the_bytes_are_split(cuts):
+    text = "".join(f": beat\r\n\r\nid: {n}\ndata: {event(n).data}\n\n" for n in (1, 2))
+    raw = HEAD + chunk(text[:70]) + chunk(text[70:]) + b"0\r\n\r\n"
+    protocol, found = ChannelProtocol(), []
+    for cut in cuts:
+        found += protocol.feed(raw[:cut])
+        raw = raw[cut:]
+    found += protocol.feed(raw)
+    assert found == [event(1), event(2)] and protocol.ended
+
+
+def test_a_change_is_read():
+    command = decode_event(event(4, "leaving"))
+    (engine,) = command.engines.engines
+    assert command.engines.kind is ListKind.DELTA and command.addresses == {"s-1": ("10.1.0.9", 8443)}
+    assert (engine.state, engine.started_us, engine.cell) == (EngineState.DRAINING, 7000, 2)
+
+
+@pytest.mark.parametrize("raw", [b"HTTP/1.1 503 No\r\n\r\n", b"garbage\r\n\r\n"])
+def test_a_call_that_fails_is_an_error(raw):
+    with pytest.raises(ChannelError):
+        ChannelProtocol().feed(raw)
+
+
+def follower() -> tuple[ChannelFollower, list[int]]:
+    seen: list[int] = []
+    return ChannelFollower(("127.0.0.1", 1), 3, lambda command: seen.append(command.cursor)), seen
+
+
+def test_an_event_is_applied_once():
+    f, seen = follower()
+    for n in (2, 3, 4, 4, 5):
+        f.take(event(n))
+    assert seen == [4, 5] and f.cursor == 5
+
+
+def test_a_gap_is_asked_for_again_once():
+    f, seen = follower()
+    with pytest.raises(ChannelError):
+        f.take(event(6))
+    f.take(event(6))
+    assert seen == [6]
+
+
+def test_an_event_that_never_can_be_read_is_passed_over():
+    """Guards against one bad event that would keep every later one from being heard."""
+    f, seen = follower()
+    for _ in range(BAD_MOST - 1):
+        with pytest.raises(ChannelError):
+            f.take(ServerEvent("4", '{"cursor":4,"nodes":{"members":[{}]}}'))
+    f.take(ServerEvent("4", "{"))
+    f.take(event(5))
+    assert seen == [5]
--- /dev/null
+++ b/tests/test_config.py
@@ -0,0 +1,56 @@
+"""Configuration is read in one place, and each complaint names its key."""
+
+from __future__ import annotations
+
+import copy
+import os
+import subprocess
+import sys
+
+import pytest
+
+from hollowhitch.config import ConfigError, parse
+from tests import boot
+
+
+def test_what_is_left_out_has_its_default():
+    c = parse(boot.config(limits={}), {})
+    assert (c.dial_timeout_us, c.keepalive_us, c.streams_per_connection) == (250_000, 30_000_000, 100)
+    assert c.clients_most == 480 and c.seed == 0x8C1F30D27A5BE964 and c.listen == ("127.0.0.1", 0)
+
+
+@pytest.mark.parametrize(
+    "path,value,named",
+    [
+        ("listen", "nowhere", "listen"), ("seed", "xyz", "seed"), ("settings", None, "settings"),
+        ("limits.sockets", 10, "limits.sockets"), ("limits.sockets", "many", "limits.sockets"),
+        ("channel", "127.0.0.1", "channel"), ("known.cmds", 3, "known.cmds"),
+        ("known.cmds", [{"cursor": 1, "nodes": {"members": [{}]}}], r"known.cmds\[0\]"),
+        ("settings.bounds.streamsPerConn", 0, "settings.bounds.streamsPerConn"),
+        ("settings.bounds.maxAttempts", None, "settings.bounds.maxAttempts"),
+        ("settings.bounds.maxAttempts", "4", "settings.bounds.maxAttempts"),
+        ("settings.classes.0.deadlineUs", "x", r"settings.classes\[0\].deadlineUs"),
+        ("settings.classes.1.semantics", "odd", r"settings.classes\[1\].semantics"),
+        ("settings.classes", [], "classes"), ("settings.extra.sizeMb", [1, 2], "settings.extra.sizeMb"),
+        ("settings.rules.coldUs", "long", "settings.rules.coldUs"),
+    ],
+)
+def test_a_fault_names_its_key(path, value, named):
+    raw = copy.deepcopy(boot.config())
+    *way, last = path.split(".")
+    place = raw
+    for step in way:
+        place = place[int(step) if step.isdigit() else step]
+    place[last] = value
+    with pytest.raises(ConfigError, match=named):
+        parse(raw, {})
+
+
+@pytest.mark.parametrize("text,named", [(None, "ROUTER_CONFIG"), ("{", "ROUTER_CONFIG"), ("{}", "settings")])
+def test_the_program_ends_with_the_key_named(tmp_path, text, named):
+    env = {k: v for k, v in os.environ.items() if k != "ROUTER_CONFIG"}
+    if text is not None:
+        (tmp_path / "c.json").write_text(text)
+        env["ROUTER_CONFIG"] = str(tmp_path / "c.json")
+    done = subprocess.run([sys.executable, "-m", "hollowhitch"], env=env, capture_output=True, text=True)
+    assert done.returncode != 0 and named in done.stderr and "Traceback" not in done.stderr
--- /dev/null
+++ b/tests/test_proxy.py
@@ -0,0 +1,294 @@
+"""The whole proxy on loopback sockets, with engines that do as each test says. No time is asserted."""
+
+from __future__ import annotations
+
+import json
+import os
+import signal
+import struct
+import subprocess
+import sys
+from collections.abc import Callable
+
+import gevent
+import pytest
+from gevent import socket
+from gevent.server import StreamServer
+
+from hollowhitch import __main__ as program
+from hollowhitch import config as configuration
+from hollowhitch.protocol import frames
+from hollowhitch.protocol.channel import parse_command
+from tests import boot
+
+FIELDS = {"service": "q", "ref": "00000000000000aa", "allow": "6000"}
+ROW = b"a\tb\tc\n"
+Speak = Callable[[str, str], bytes]  # verb and id of what came in: what to say
+
+
+class Engine:
+    """A process that answers as it is told and remembers what it was told."""
+
+    def __init__(self, speak: Speak) -> None:
+        self.speak, self.heard, self.statements = speak, [], []
+        self.server = StreamServer(("127.0.0.1", 0), self.serve)
+        self.server.start()
+        self.port = self.server.server_port
+
+    def serve(self, sock: socket.socket, _: object) -> None:
+        lines = sock.makefile("rb")
+        while line := lines.readline():
+            words = line.decode().split()
+            self.heard.append(line.decode().strip())
+            if words[0] == "REQ":
+                self.statements.append(lines.read(int(words[-1]) + 2)[:-2])
+            said = self.speak(words[0], words[1])
+            if said is None:
+                sock.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, struct.pack("ii", 1, 0))
+                sock.close()
+                return
+            sock.sendall(said)
+
+    def until(self, verb: str) -> None:
+        while not any(line.startswith(verb) for line in self.heard):
+            gevent.sleep(0.001)
+
+
+def say(ref: str, word: str, fields: str = "-", body: bytes = b"") -> bytes:
+    return f"{ref} {word} {fields} {len(body)}\r\n".encode() + body + b"\r\n"
+
+
+def rows(verb: str, ref: str) -> bytes:
+    return say(ref, "data", "fetches=1,stats=cpu:0.1", ROW) if verb == "REQ" else b""
+
+
+def silent(verb: str, ref: str) -> bytes:
+    return b""
+
+
+class Client:
+    def __init__(self, proxy: program.Proxy) -> None:
+        self.sock = socket.create_connection(proxy.front.address)
+
+    def send(self, kind: int, stream: int, payload: bytes = b"") -> None:
+        self.sock.sendall(frames.format_frame(kind, stream, payload))
+
+    def ask(self, stream: int, body: bytes = b"select 1 from s_3.t", **changes: str) -> None:
+        self.send(frames.REQUEST, stream, frames.format_fields({**FIELDS, **changes}) + body)
+
+    def read(self) -> tuple[int, int, bytes] | None:
+        """Type, stream and payload of the next frame; None at the end."""
+        head = self._exactly(9)
+        if head is None:
+            return None
+        length, kind, stream = frames.HEAD.unpack(head)
+        return kind, stream, self._exactly(length - 5)
+
+    def answer(self) -> tuple[int, int, bytes]:
+        kind, stream, payload = self.read()
+        assert kind == frames.ANSWER
+        _, size = frames.parse_fields(payload[1:])
+        return stream, payload[0], payload[1 + size :]
+
+    def _exactly(self, count: int) -> bytes | None:
+        data = b""
+        while len(data) < count:
+            more = self.sock.recv(count - len(data))
+            if not more:
+                return None
+            data += more
+        return data
+
+
+@pytest.fixture
+def start(monkeypatch):
+    monkeypatch.setattr(program, "TAKES_S", 0.05)
+    proxies = []
+
+    def begin(*speakers: Speak) -> tuple[program.Proxy, list[Engine]]:
+        engines = [Engine(s) for s in speakers]
+        members = [boot.member(f"e{i}", e.port) for i, e in enumerate(engines)]
+        proxy = program.Proxy(configuration.parse(boot.config(*members), {}))
+        proxy.start()
+        proxies.append(proxy)
+        return proxy, engines
+
+    with gevent.Timeout(30):
+        yield begin
+    for proxy in proxies:
+        proxy.front.stop_listening()
+
+
+def test_a_request_is_served_with_all_its_pages(start):
+    def speak(verb, ref):
+        if verb == "REQ":
+            return say(ref, "data", "fetches=2", b"1" + ROW)
+        return say(ref, "page", "fetch_no=1", b"2" + ROW)
+
+    proxy, (engine,) = start(speak)
+    client = Client(proxy)
+    client.ask(1, b"select 1 from s_3.t")
+    assert client.answer() == (1, frames.SERVED, b"1" + ROW + b"2" + ROW)
+    assert engine.statements == [b"select 1 from s_3.t"] and "class=q,wait=" in engine.heard[0]
+
+
+@pytest.mark.parametrize(
+    "first", [lambda v, r: None, lambda v, r: b"no answer at all\r\n", lambda v, r: say(r, "full")]
+)
+def test_a_safe_query_goes_to_another_engine_when_one_fails(start, first):
+    asked = []
+
+    def speak(verb, ref):
+        asked.append(verb)
+        return first(verb, ref) if len(asked) == 1 else rows(verb, ref)
+
+    proxy, _ = start(speak, speak)
+    client = Client(proxy)
+    client.ask(1)
+    assert client.answer() == (1, frames.SERVED, ROW)
+
+
+def test_an_engine_that_refuses_connections_never_ran_anything(start):
+    proxy, (engine, other) = start(silent, rows)
+    engine.server.stop()
+    client = Client(proxy)
+    for stream in range(1, 9):
+        client.ask(stream, ref=f"{stream:016x}")
+    assert {client.answer()[:2] for _ in range(8)} == {(n, frames.SERVED) for n in range(1, 9)}
+
+
+def test_a_client_that_no_longer_waits_gets_no_answer_and_its_engine_is_told(start):
+    proxy, (engine,) = start(silent)
+    client = Client(proxy)
+    client.ask(1)
+    engine.until("REQ")
+    client.send(frames.GONE, 1)
+    engine.until("STOP")
+    client.send(frames.ASK_READY, 9)
+    assert client.read() == (frames.READY, 9, bytes([frames.YES, 0]))
+    assert proxy.gateway.unanswered == 0
+
+
+def test_a_client_that_disconnects_leaves(start, monkeypatch):
+    proxy, (engine,) = start(silent)
+    client = Client(proxy)
+    client.ask(1)
+    engine.until("REQ")
+    left = []
+    monkeypatch.setattr(proxy.gateway, "left", left.append)
+    client.sock.close()
+    while not left:
+        gevent.sleep(0.001)
+    assert [q.ref for q in left] == [FIELDS["ref"]]
+
+
+def test_bad_requests_are_answered_on_their_stream_and_bad_frames_on_stream_0(start):
+    proxy, _ = start(rows)
+    client = Client(proxy)
+    client.ask(1, service="ghost")
+    assert client.answer()[:2] == (1, frames.FAILED)
+    client.send(frames.REQUEST, 2, b"\x09")
+    assert client.answer()[:2] == (2, frames.FAILED)
+    client.ask(2)
+    assert client.answer()[:2] == (0, frames.FAILED)  # the stream was used before
+    client.ask(3)
+    client.sock.sendall(b"\xff\xff\xff\xff\x01")
+    assert {client.answer()[:2] for _ in range(2)} == {(0, frames.FAILED), (3, frames.SERVED)}
+    assert client.read() is None
+
+
+def test_a_late_answer_to_an_old_attempt_is_not_the_new_ones(start):
+    """The same id goes to the same engine twice: over another connection, where the old answer can't come."""
+    proxy, (engine,) = start(silent)
+    one, two = Client(proxy), Client(proxy)
+    one.ask(1)
+    engine.until("REQ")
+    one.send(frames.GONE, 1)
+    engine.until("STOP")
+    engine.heard.clear()
+    two.ask(1)
+    engine.until("REQ")
+    assert len(proxy.pools.pools["e0"].connections) == 2
+
+
+def test_an_engine_that_drains_meanwhile_is_sent_nothing(start, monkeypatch):
+    """The drain rule is checked again just before a request is written."""
+    proxy, (engine,) = start(rows)
+    pool, begin = proxy.pools.pools["e0"], proxy.pools.start
+
+    def drained(attempt):
+        begin(attempt)
+        pool.ready = False  # as a change of the list would, between the choice and the write
+
+    monkeypatch.setattr(proxy.pools, "start", drained)
+    client = Client(proxy)
+    client.ask(1)
+    assert client.answer()[1] == frames.REFUSED
+    assert engine.heard == []
+
+
+def test_an_address_used_again_is_another_engine(start):
+    proxy, (engine, other) = start(rows, rows)
+    client = Client(proxy)
+    client.ask(1)
+    client.answer()
+    gone = [boot.member(name, engine.port, "left") for name in ("e0", "e1")]
+    proxy.apply(parse_command(boot.command(2, *gone, boot.member("new", engine.port))))
+    engine.heard.clear()
+    client.ask(2, ref="00000000000000bb")
+    assert client.answer()[1] == frames.SERVED and len(engine.heard) == 1
+    assert proxy.pools.pools["new"].connections and not proxy.pools.pools["e0"].ready
+
+
+def test_connections_to_a_process_that_was_replaced_are_closed(start):
+    proxy, (engine,) = start(silent)
+    client = Client(proxy)
+    client.ask(1)
+    engine.until("REQ")
+    later = boot.member("e0", engine.port, started_ms=proxy.clock.now_us() // 1000 + 1)
+    proxy.apply(parse_command(boot.command(2, later)))
+    engine.speak = rows
+    assert client.answer() == (1, frames.SERVED, ROW)
+
+
+def test_a_slow_peer_stalls_only_itself(start):
+    proxy, _ = start(lambda verb, ref: say(ref, "data", "fetches=1", ROW * 900) if verb == "REQ" else b"")
+    slow, quick = Client(proxy), Client(proxy)
+    slow.sock.setsockopt(socket.SOL_SOCKET, socket.SO_RCVBUF, 4096)
+    for stream in range(1, 25):
+        slow.ask(stream, ref=f"{stream:016x}")
+    quick.ask(1)
+    assert quick.answer()[:2] == (1, frames.SERVED)
+
+
+def test_a_proxy_that_ends_finishes_what_it_took(start):
+    proxy, (engine,) = start(silent)
+    open_one, new_one = Client(proxy), Client(proxy)
+    open_one.ask(1)
+    engine.until("REQ")
+    ending = gevent.spawn(proxy.finish)
+    assert open_one.read() == (frames.CLOSING, 0, b"") and new_one.read()[0] == frames.CLOSING
+    new_one.send(frames.ASK_READY, 1)
+    assert new_one.read()[2][0] == frames.NO
+    engine.speak = rows
+    new_one.ask(2, ref="00000000000000bb")  # still on its way when the word came
+    assert new_one.answer() == (2, frames.SERVED, ROW)
+    open_one.send(frames.GONE, 1)
+    ending.join()
+    assert open_one.read() is None
+
+
+def test_the_program_ends_with_0_after_sigterm(tmp_path):
+    path = tmp_path / "c.json"
+    path.write_text(json.dumps(boot.config(boot.member("e0", 1))))
+    env = {**os.environ, "ROUTER_CONFIG": str(path)}
+    run = subprocess.Popen([sys.executable, "-m", "hollowhitch"], env=env, stderr=subprocess.PIPE)
+    try:
+        host, _, port = run.stderr.readline().decode().split()[-1].rpartition(":")
+        sock = socket.create_connection((host, int(port)))
+        run.send_signal(signal.SIGTERM)
+        assert sock.recv(9) == frames.format_frame(frames.CLOSING, 0)
+        assert run.wait(30) == 0
+    finally:
+        run.kill()
+        run.stderr.close()
--- /dev/null
+++ b/tests/test_tables.py
@@ -0,0 +1,42 @@
+"""A statement's group of tables."""
+
+from __future__ import annotations
+
+import pytest
+from hypothesis import given
+from hypothesis import strategies as st
+
+from hollowhitch.protocol.tables import table_group
+
+
+@pytest.mark.parametrize(
+    "statement,group",
+    [
+        ("select a from sales_17.orders", 17),
+        ("SELECT x_3.a FROM staging.t_4 x_3, fin_9.b", 9),
+        ("select extract(year from t_9.c) from a_4.b t_9", 4),
+        ("insert into staging.x_1 select 1 from (select 1 from /* b_2.c /* */ */ 'd_3.e', \"Q_8\".t)", 8),
+        ("select 'from a_1.b' -- from c_2.d\n from e_5.f", 5),
+        ("select $$ from a_1.b $$, $t$ from a_2.b $t$ from e_5.f", 5),
+        ("select 'it''s from a_1.b' from e_5.f", 5),
+        ("update s_6.t set a = b_2.c", 6),
+        ("delete from only s_7.t where x in (select y from z_8.q)", 7),
+        ("with x_1 as (select * from k_12.t) select * from x_1 as t_4", 12),
+        ("merge into staging.t using b_2.x on 1 = 1", 2),
+        ("copy z_11.t from 's3'", 11),
+        ("select a.b from staging.a join staging.b on a_3.x = b_4.y, c_5.d", 5),
+        ("select c_1.x from cat.sales_2.t c_1", 2),
+        ("select * from (staging.a join s_3.b on true)", 3),
+        ("select a is distinct from b_1.c from d_2.e for update of x_3.y", 2),
+        ("insert into s_1.t (c_2, d_3) values ('x')", 1),
+        ("select 1", 0), ("", 0), ("select a_1.b", 0), ("select 'unclosed from a_1.b", 0),
+        ("/* unclosed from a_1.b", 0),
+    ],
+)
+def test_statement(statement, group):
+    assert table_group(statement) == group
+
+
+@given(st.text(alphabet="from select,.()'\"/*-_1a$;\n", max_size=80))
+def test_any_text_has_an_answer(text):
+    assert table_group(text) >= 0
