Take requests in the order the kernel received them, and date them by it

Seen: a probe with six connections, written to 20 ms apart while the loop stood still, read them in the order 6 5 4 3 2 1: the event loop serves what became readable last first. Two booking loads of one key come 60 ms apart at the least, so a standstill that long would have taken them in the wrong order and broken the order rule; and allow counted from our read, not from the client's send.

The kernel's receive times (within 50 to 100 us of the send in the probe) now date each request, and what is read in one turn of the loop is sorted by them. Without the sort the new test fails with the eight requests reversed.

--- a/hollowhitch/gateway.py
+++ b/hollowhitch/gateway.py
@@ -111,15 +111,19 @@
 
     # What comes in
 
-    def take(self, query: Query) -> None:
-        """A query, with everything of `arrived` in place but the id, which is given here."""
+    def take(self, query: Query, at_us: int) -> None:
+        """A query, with everything of `arrived` in place but the id, which is given here.
+
+        Its time counts from when it came, not from when its turn came.
+        """
         self._serial += 1
         name = f"q{self._serial}"
-        query.arrived = dataclasses.replace(query.arrived, id=name)
-        query.expires_us = self.clock.now_us() + query.arrived.expires_in_us
+        query.expires_us = at_us + query.arrived.expires_in_us
+        left_us = max(0, query.expires_us - self.clock.now_us())
+        query.arrived = dataclasses.replace(query.arrived, id=name, expires_in_us=left_us)
         self.queries[name] = query
         self.unanswered += 1
-        overdue = (query.arrived.expires_in_us + OVERDUE_US) / 1e6
+        overdue = (left_us + OVERDUE_US) / 1e6
         query.watchdog = self._call_later(overdue, lambda: self._overdue(query))
         self.post(query.arrived)
 
--- a/hollowhitch/net/clients.py
+++ b/hollowhitch/net/clients.py
@@ -10,6 +10,7 @@
 from hollowhitch.config import Config
 from hollowhitch.gateway import Answer, Gateway, Query, Refused, Served
 from hollowhitch.log import say
+from hollowhitch.net.arrivals import Arrivals, receive, want_times
 from hollowhitch.net.outbox import Outbox
 from hollowhitch.protocol import frames
 from hollowhitch.protocol.tables import table_group
@@ -30,6 +31,7 @@
 
     def run(self) -> None:
         self.sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
+        want_times(self.sock)
         self.sock.settimeout(IDLE_S)
         writer = gevent.spawn(self._write)
         try:
@@ -42,6 +44,7 @@
             for query in list(self.queries.values()):
                 self.front.gateway.left(query)
             self.queries.clear()
+            self.protocol.open.clear()  # nor is anything taken that was read and has not had its turn
             self.outbox.close()
             writer.kill(block=False)
             self.sock.close()
@@ -58,7 +61,7 @@
             self.outbox.wait_for_room()
             try:
                 with protocol.buffer.room() as room:
-                    count = self.sock.recv_into(room)
+                    count, at_us = receive(self.sock, room, self.front.gateway.clock.now_us)
             except TimeoutError:
                 if protocol.open and not self.ending:
                     continue
@@ -66,7 +69,7 @@
             if count == 0:
                 return
             for turn, event in enumerate(protocol.received(count), 1):
-                self._take(event)
+                self._take(event, at_us)
                 if turn % TURN == 0:
                     gevent.sleep(0)
 
@@ -81,10 +84,10 @@
         self.outbox.close()
         self.sock.close()  # which ends the reader too
 
-    def _take(self, event: frames.FrameEvent) -> None:
+    def _take(self, event: frames.FrameEvent, at_us: int) -> None:
         match event:
             case frames.Request():
-                self._request(event)
+                self.front.arrivals.add(at_us, lambda: self._request(event, at_us))
             case frames.Gone():
                 query = self.queries.pop(event.stream, None)
                 self.protocol.answered(event.stream)
@@ -107,8 +110,10 @@
                 self.outbox.put(_error(0, event.reason))
                 self._end_if_done()
 
-    def _request(self, event: frames.Request) -> None:
+    def _request(self, event: frames.Request, at_us: int) -> None:
         front = self.front
+        if event.stream not in self.protocol.open:  # its client has left meanwhile
+            return
         if front.closed or front.gateway.unanswered >= front.config.open_most:
             self._answer(event.stream, front.turned_away())
             return
@@ -121,7 +126,7 @@
         stream = event.stream
         query = Query(ref, arrived, replay, event.body, lambda answer: self._answer(stream, answer))
         self.queries[stream] = query
-        front.gateway.take(query)
+        front.gateway.take(query, at_us)
 
     def _bad(self, stream: int, reason: str) -> None:
         say("client", f"a request that can't be used: {reason}")
@@ -163,6 +168,7 @@
 
     def __init__(self, config: Config, gateway: Gateway) -> None:
         self.config, self.gateway = config, gateway
+        self.arrivals = Arrivals()
         self.connections: set[ClientConnection] = set()
         self.closing = self.closed = False  # asked to end; takes nothing new
         self._server = StreamServer(config.listen, self._serve, backlog=512, spawn=Pool(config.clients_most))
--- a/tests/test_gateway.py
+++ b/tests/test_gateway.py
@@ -46,10 +46,10 @@
         self.later.append(timer)
         return timer
 
-    def ask(self) -> gw.Query:
+    def ask(self, ago_us: int = 0) -> gw.Query:
         arrived = api.QueryArrived("", "q", None, 7, 6_000_000, 200_000, 100.0, 1, False)
         query = gw.Query("00aa", arrived, None, b"select 1", self.answers.append)
-        self.gateway.take(query)
+        self.gateway.take(query, self.clock.now_us() - ago_us)
         return query
 
     def fire(self, most_s: float) -> None:
@@ -156,6 +156,12 @@
     assert nested and not any(nested)
 
 
+def test_a_query_that_lay_in_the_kernel_is_no_new_one():
+    b = Bench()
+    b.ask(ago_us=7_000_000)  # it would have waited 6 s
+    assert b.answers and not b.backend.started
+
+
 def test_the_clock_never_goes_back(monkeypatch):
     clock = gw.Clock()
     first = clock.now_us()
--- a/tests/test_proxy.py
+++ b/tests/test_proxy.py
@@ -251,6 +251,20 @@
     assert client.answer() == (1, frames.SERVED, ROW)
 
 
+def test_requests_are_taken_in_the_order_in_which_they_came(start):
+    """After a standstill the loop reads what became readable last first; one key's order must not turn."""
+    proxy, (engine,) = start(rows)
+    clients = [Client(proxy) for _ in range(8)]
+    for client in clients:
+        client.send(frames.ASK_READY, 1)
+        client.read()
+    for i, client in enumerate(clients):  # none of these switches to the proxy's greenlets
+        client.ask(2, ref=f"{i:016x}")
+    for client in clients:
+        client.answer()
+    assert [line.split()[1] for line in engine.heard] == [f"{i:016x}" for i in range(8)]
+
+
 def test_a_slow_peer_stalls_only_itself(start):
     proxy, _ = start(lambda verb, ref: say(ref, "data", "fetches=1", ROW * 900) if verb == "REQ" else b"")
     slow, quick = Client(proxy), Client(proxy)
