--- a/hollowhitch/__main__.py
+++ b/hollowhitch/__main__.py
@@ -43,16 +43,15 @@
             self.gateway.relist(command.engines)
 
     def start(self) -> None:
-        first, cursor = True, 0
+        first = True
         for command in self.config.known:
-            cursor = max(cursor, command.cursor)
             if first and command.engines is not None:
                 first = False
                 cached = dataclasses.replace(command.engines, kind=ListKind.CACHED)
                 command = dataclasses.replace(command, engines=cached)
             self.apply(command)
         if self.config.channel is not None:
-            gevent.spawn(ChannelFollower(self.config.channel, cursor, self.apply).run)
+            gevent.spawn(ChannelFollower(self.config.channel, self.config.cursor, self.apply).run)
         gevent.spawn(self.pools.sweep_forever)
         self.front.start()
         say("proxy", f"{self.config.name} listens on {self.front.address[0]}:{self.front.address[1]}")
--- a/hollowhitch/config.py
+++ b/hollowhitch/config.py
@@ -36,6 +36,7 @@
     seed: int
     channel: Address | None
     known: tuple[Command, ...]
+    cursor: int  # of the last event that is known
     settings: Settings
     dial_timeout_us: int
     keepalive_us: int
@@ -94,7 +95,7 @@
         raise ConfigError(f"seed: {text!r} is not hex digits") from None
 
 
-def _known(table: _Table) -> tuple[Command, ...]:
+def _known(table: _Table) -> tuple[tuple[Command, ...], int]:
     rows = table.raw.get("cmds") or []
     if not isinstance(rows, list):
         raise ConfigError(f"{table.key('cmds')}: must be a list")
@@ -104,7 +105,10 @@
             commands.append(parse_command(row))
         except ChannelError as e:
             raise ConfigError(f"{table.key('cmds')}[{i}]: {e}") from None
-    return tuple(commands)
+    cursor = table.raw.get("cursor") or 0
+    if isinstance(cursor, bool) or not isinstance(cursor, int) or cursor < 0:
+        raise ConfigError(f"{table.key('cursor')}: must be a whole number, not {cursor!r}")
+    return tuple(commands), max([cursor, *(c.cursor for c in commands)])
 
 
 def parse(raw: Any, env: Mapping[str, str]) -> Config:
@@ -119,12 +123,14 @@
         parsed = parse_settings(settings.raw)
     except SettingsError as e:
         raise ConfigError(f"settings.{e}") from None
+    known, cursor = _known(top.table("known", optional=True))
     return Config(
         name=top.text("name", env.get("ROUTER_NAME")),
         listen=top.address("listen", env.get("ROUTER_LISTEN"), 0),  # 0: any free port
         seed=_seed(top.text("seed", "0")),
         channel=top.address("channel") if top.raw.get("channel") else None,
-        known=_known(top.table("known", optional=True)),
+        known=known,
+        cursor=cursor,
         settings=parsed,
         dial_timeout_us=bounds.count("dialTimeoutUs"),
         keepalive_us=bounds.count("keepaliveUs"),
--- a/hollowhitch/gateway.py
+++ b/hollowhitch/gateway.py
@@ -17,6 +17,7 @@
 from hollowhitch.policy import interface as api
 from hollowhitch.policy.control import Controller
 
+SET_ANEW = api.TimerFired(-1)  # a label that the module never gives: only what is due is done
 OVERDUE_US = 5_000  # past its expiry: a query that the module has not ended by then is ended here
 
 
@@ -173,6 +174,8 @@
             # been decided before is booked in the module, so it is carried out all the same.
             say("module", f"{type(event).__name__}: {type(e).__name__}: {e}")
             actions = self.controller.acts
+            if event != SET_ANEW:  # its next timer was not set
+                self._events.append(SET_ANEW)
             self._give_up_on(getattr(event, "id", None), event)
         for action in actions:
             try:
--- a/hollowhitch/net/clients.py
+++ b/hollowhitch/net/clients.py
@@ -16,6 +16,7 @@
 from hollowhitch.protocol.tables import table_group
 
 OUTBOX_MOST = 256 * 1024  # bytes that wait for a client before no more is read from it
+HELD_MOST = 32 << 20  # bytes of statements and of answers not yet written, over all clients
 IDLE_S = 30.0  # without a byte while nothing is open, or with a write that does not move
 LINGER_S = 0.5  # for the client to read what was written, after we have ended
 TURN = 32  # frames read from one connection before others have a turn
@@ -41,9 +42,9 @@
         except Exception as e:  # a fault of ours costs this connection, with its queries given up below
             say("fault", f"reading from a client: {type(e).__name__}: {e}")
         finally:
-            for query in list(self.queries.values()):
+            for stream, query in list(self.queries.items()):
+                self._forget(stream)
                 self.front.gateway.left(query)
-            self.queries.clear()
             self.protocol.open.clear()  # nor is anything taken that was read and has not had its turn
             self.outbox.close()
             writer.kill(block=False)
@@ -89,7 +90,7 @@
             case frames.Request():
                 self.front.arrivals.add(at_us, lambda: self._request(event, at_us))
             case frames.Gone():
-                query = self.queries.pop(event.stream, None)
+                query = self._forget(event.stream)
                 self.protocol.answered(event.stream)
                 if query is not None:
                     self.front.gateway.left(query)
@@ -114,7 +115,7 @@
         front = self.front
         if event.stream not in self.protocol.open:  # its client has left meanwhile
             return
-        if front.closed or front.gateway.unanswered >= front.config.open_most:
+        if front.closed or front.crowded(len(event.body)):
             self._answer(event.stream, front.turned_away())
             return
         try:
@@ -126,6 +127,7 @@
         stream = event.stream
         query = Query(ref, arrived, replay, event.body, lambda answer: self._answer(stream, answer))
         self.queries[stream] = query
+        front.held += len(event.body)
         front.gateway.take(query, at_us)
 
     def _bad(self, stream: int, reason: str) -> None:
@@ -136,7 +138,7 @@
 
     def _answer(self, stream: int, answer: Answer) -> None:
         """One whole answer for each stream, never two."""
-        self.queries.pop(stream, None)
+        self._forget(stream)
         if stream not in self.protocol.open:
             return
         self.protocol.answered(stream)
@@ -152,6 +154,12 @@
         self.outbox.put(frame)
         self._end_if_done()
 
+    def _forget(self, stream: int) -> Query | None:
+        query = self.queries.pop(stream, None)
+        if query is not None:
+            self.front.held -= len(query.statement)
+        return query
+
     def _end_if_done(self) -> None:
         """After bytes that were no frame, what had been taken before is still answered; then we end."""
         if self.protocol.broken and not self.protocol.open and not self.ending:
@@ -170,6 +178,7 @@
         self.config, self.gateway = config, gateway
         self.arrivals = Arrivals()
         self.connections: set[ClientConnection] = set()
+        self.held = 0  # bytes of the statements that are open
         self.closing = self.closed = False  # asked to end; takes nothing new
         self._server = StreamServer(config.listen, self._serve, backlog=512, spawn=Pool(config.clients_most))
 
@@ -179,6 +188,12 @@
     def ready(self) -> bool:
         return not self.closing and any(self.gateway.controller.open_for)
 
+    def crowded(self, more: int) -> bool:
+        """Guards the memory limit, and the module's own limit on open queries."""
+        if self.gateway.unanswered >= self.config.open_most:
+            return True
+        return self.held + more + sum(c.outbox.size for c in self.connections) > HELD_MOST
+
     def turned_away(self) -> Refused:
         return Refused(self.gateway.settings.limits.retry_after_us or 0)
 
--- a/hollowhitch/net/engines.py
+++ b/hollowhitch/net/engines.py
@@ -2,6 +2,8 @@
 
 from __future__ import annotations
 
+import contextlib
+import functools
 from collections import deque
 from collections.abc import Mapping
 
@@ -12,6 +14,7 @@
 from hollowhitch.gateway import Attempt, Clock, Gateway
 from hollowhitch.log import say
 from hollowhitch.net.outbox import Outbox
+from hollowhitch.net.timers import LaterCall
 from hollowhitch.policy.interface import EngineList, EngineState, ListKind, LoadReport, Outcome, ProbeEnded
 from hollowhitch.protocol.lines import EngineProtocol, LineError
 
@@ -132,16 +135,21 @@
         if why and self.attempts:
             say("engine", f"{self.pool.id}: {why}, with {len(self.attempts)} attempts")
         self.outbox.close()
+        with contextlib.suppress(OSError):  # the engine is told now; the close itself waits for the loop
+            self.sock.shutdown(socket.SHUT_RDWR)
         self.sock.close()
         if self in self.pool.connections:
             self.pool.connections.remove(self)
         attempts, written = list(self.attempts.items()), self.written
         self.attempts, self.written = {}, set()
+        gateway = self.pool.owner.gateway
         for ref, attempt in attempts:
-            outcome = Outcome.RESET if ref in written else Outcome.CONNECT_FAILED
-            self.pool.owner.gateway.ended(attempt, outcome)
+            if ref in written:  # guards the rule of one attempt at a time, where it is we who close
+                LaterCall(TOLD_S, functools.partial(gateway.ended, attempt, Outcome.RESET))
+            else:
+                gateway.ended(attempt, Outcome.CONNECT_FAILED)
         for _ in self.probes:
-            self.pool.owner.gateway.probed(ProbeEnded(self.pool.id, Outcome.RESET, 0, None))
+            gateway.probed(ProbeEnded(self.pool.id, Outcome.RESET, 0, None))
 
 
 class Pool:
--- a/hollowhitch/policy/control.py
+++ b/hollowhitch/policy/control.py
@@ -267,6 +267,7 @@
     # ---- feedback: the smoothed error moves numBigQueries, more so the more of the arrivals are held
 
     def _sweep(self, _: None) -> None:
+        self.agenda.add(self.now + SWEEP_US, self._sweep, None)  # first: a fault below ends no sweeps
         self._estimate_share()
         for e in list(self.awake.values()):
             self._feedback(e)
@@ -274,7 +275,6 @@
             if self.whole and not e.out and self._report(e) is None:
                 del self.awake[e.info.id]
         self.pump()
-        self.agenda.add(self.now + SWEEP_US, self._sweep, None)
 
     def _wake(self, e: EngineTable) -> None:
         """Only engines in use are swept; one that slept has faded back and charges as the average."""
--- a/hollowhitch/protocol/buffer.py
+++ b/hollowhitch/protocol/buffer.py
@@ -26,7 +26,7 @@
                     view[:held] = view[self.start : self.end]
                 self.start, self.end = 0, held
             if len(self.data) - held < least:
-                self.data.extend(bytes(max(len(self.data), least)))
+                self.data.extend(bytes(max(len(self.data) // 4, least)))  # never far above the largest frame
         return memoryview(self.data)[self.end :]
 
     def filled(self, count: int) -> None:
--- a/hollowhitch/protocol/channel.py
+++ b/hollowhitch/protocol/channel.py
@@ -64,8 +64,8 @@
         rows = nodes["members"]
         engines = tuple(_engine(row) for row in rows)
         kind = ListKind.FULL if nodes.get("complete") else ListKind.DELTA
-        live = [row for row in rows if row["phase"] != "left" or row.get("host_port")]
-        addresses = {str(row["id"]): parse_address(row["host_port"]) for row in live}
+        placed = [row for row in rows if row.get("host_port")]  # one that is gone may have no address
+        addresses = {str(row["id"]): parse_address(row["host_port"]) for row in placed}
         return Command(int(raw["cursor"]), EngineList(kind, engines), addresses)
     except ChannelError:
         raise
--- a/tests/test_config.py
+++ b/tests/test_config.py
@@ -25,6 +25,7 @@
         ("listen", "nowhere", "listen"), ("seed", "xyz", "seed"), ("settings", None, "settings"),
         ("limits.sockets", 10, "limits.sockets"), ("limits.sockets", "many", "limits.sockets"),
         ("channel", "127.0.0.1", "channel"), ("known.cmds", 3, "known.cmds"),
+        ("known.cursor", "x", "known.cursor"),
         ("known.cmds", [{"cursor": 1, "nodes": {"members": [{}]}}], r"known.cmds\[0\]"),
         ("settings.bounds.streamsPerConn", 0, "settings.bounds.streamsPerConn"),
         ("settings.bounds.maxAttempts", None, "settings.bounds.maxAttempts"),
--- a/tests/test_gateway.py
+++ b/tests/test_gateway.py
@@ -32,10 +32,17 @@
         raise AssertionError("probing is not allowed")
 
 
+class Ahead(gw.Clock):
+    ahead = 0
+
+    def now_us(self) -> int:
+        return super().now_us() + self.ahead
+
+
 class Bench:
     def __init__(self, *classes: api.QueryClass) -> None:
         self.later: list[SimpleNamespace] = []
-        self.backend, self.clock = Backend(), gw.Clock()
+        self.backend, self.clock = Backend(), Ahead()
         self.gateway = gw.Gateway(settings(*classes), 1, self.backend, self.call_later, self.clock)
         self.answers: list[gw.Answer] = []
         self.gateway.relist(api.EngineList(api.ListKind.CACHED, (engine("a"), engine("b"))))
@@ -123,6 +130,20 @@
     assert b.answers[1:] == [gw.Served(b"rows")]
 
 
+def test_a_fault_in_a_sweep_does_not_end_the_sweeps(monkeypatch):
+    b = Bench()
+    b.ask()
+    monkeypatch.setattr(b.gateway.controller, "_estimate_share", lambda: 1 / 0)
+    for _ in range(3):
+        b.clock.ahead += 200_000
+        b.fire(0.1)
+    swept = []
+    monkeypatch.setattr(b.gateway.controller, "_estimate_share", lambda: swept.append(1))
+    b.clock.ahead += 200_000
+    b.fire(0.1)
+    assert swept
+
+
 def test_a_query_that_the_module_lost_is_ended_when_it_expires(monkeypatch):
     b = Bench()
     monkeypatch.setattr(b.gateway.controller, "handle", lambda now, event: [])
--- a/tests/test_proxy.py
+++ b/tests/test_proxy.py
@@ -17,6 +17,7 @@
 
 from hollowhitch import __main__ as program
 from hollowhitch import config as configuration
+from hollowhitch.net import clients
 from hollowhitch.protocol import frames
 from hollowhitch.protocol.channel import parse_command
 from tests import boot
@@ -265,6 +266,20 @@
     assert [line.split()[1] for line in engine.heard] == [f"{i:016x}" for i in range(8)]
 
 
+def test_a_crowd_of_large_statements_is_turned_away(start, monkeypatch):
+    """Guards the memory limit; a refusal is harmless, a proxy killed for memory is not."""
+    monkeypatch.setattr(clients, "HELD_MOST", 250_000)
+    proxy, (engine,) = start(silent)
+    client = Client(proxy)
+    for stream in (1, 2):
+        client.ask(stream, b"select 1".ljust(200_000), ref=f"{stream:016x}")
+    assert client.answer()[:2] == (2, frames.REFUSED)
+    engine.until("REQ")
+    client.send(frames.GONE, 1)
+    engine.until("STOP")
+    assert proxy.front.held == 0
+
+
 def test_a_slow_peer_stalls_only_itself(start):
     proxy, _ = start(lambda verb, ref: say(ref, "data", "fetches=1", ROW * 900) if verb == "REQ" else b"")
     slow, quick = Client(proxy), Client(proxy)
