--- a/hollowhitch/config.py
+++ b/hollowhitch/config.py
@@ -11,7 +11,8 @@
 
 from hollowhitch.policy.interface import Settings
 from hollowhitch.protocol.channel import ChannelError, Command, parse_address, parse_command
-from hollowhitch.settings import SettingsError, parse_settings
+from hollowhitch.settings import NEEDED, Table, parse_settings
+from hollowhitch.settings import SettingsError as ConfigError  # its message names the key
 
 Address = tuple[str, int]
 
@@ -22,11 +23,8 @@
     "settings.bounds.streamsPerConn": 100,
     "settings.bounds.maxOpen": 20_000,
 }
-SPARE_SOCKETS = 64  # of the limit: what is neither a client nor an engine (log, loop, channel, listener)
-
-
-class ConfigError(ValueError):
-    """Configuration that can't be used; the message names the key."""
+SPARE_SOCKETS = 64  # of the limit, a quarter at most: for the log, the loop, the listener, the channel
+SOCKETS_LEAST = 32
 
 
 @dataclass(frozen=True, slots=True)
@@ -46,46 +44,21 @@
     engine_sockets_most: int  # connections to one engine
 
 
-class _Table:
-    """A JSON object that knows where it stands, so that each complaint names its key."""
-
-    def __init__(self, raw: Any, path: str = "") -> None:
-        if not isinstance(raw, dict):
-            raise ConfigError(f"{path or 'configuration'}: must be an object")
-        self.raw, self.path = raw, path
-
-    def key(self, name: str) -> str:
-        return f"{self.path}.{name}" if self.path else name
-
-    def table(self, name: str, optional: bool = False) -> _Table:
-        if optional and self.raw.get(name) is None:
-            return _Table({}, self.key(name))
-        if name not in self.raw:
-            raise ConfigError(f"{self.key(name)}: is missing")
-        return _Table(self.raw[name], self.key(name))
-
-    def count(self, name: str) -> int:
-        """A whole number of at least 1, or its default."""
-        value = self.raw.get(name)
-        if value is None:
-            value = DEFAULTS[self.key(name)]
-        if isinstance(value, bool) or not isinstance(value, int | float) or value < 1 or value != int(value):
-            raise ConfigError(f"{self.key(name)}: must be a whole number above 0, not {value!r}")
-        return int(value)
-
-    def text(self, name: str, default: str | None = None) -> str:
-        value = self.raw.get(name, default)
-        if not isinstance(value, str) or not value:
-            raise ConfigError(f"{self.key(name)}: " + ("is missing" if value is None else "must be text"))
-        return value
-
-    def address(self, name: str, default: str | None = None, least_port: int = 1) -> Address:
-        try:
-            return parse_address(self.text(name, default), least_port)
-        except ConfigError:
-            raise
-        except ValueError as e:
-            raise ConfigError(f"{self.key(name)}: {e}") from None
+def _count(table: Table, name: str) -> int:
+    """A whole number of at least 1, or its default."""
+    value = table.number(name, DEFAULTS[table.key(name)])
+    if value < 1 or value != int(value):
+        raise ConfigError(f"{table.key(name)} must be a whole number above 0, not {value!r}")
+    return int(value)
+
+
+def _address(table: Table, name: str, default: str | None = None, least_port: int = 1) -> Address:
+    try:
+        return parse_address(table.text(name, NEEDED if default is None else default), least_port)
+    except ConfigError:
+        raise
+    except ValueError as e:
+        raise ConfigError(f"{table.key(name)}: {e}") from None
 
 
 def _seed(text: str) -> int:
@@ -95,7 +68,7 @@
         raise ConfigError(f"seed: {text!r} is not hex digits") from None
 
 
-def _known(table: _Table) -> tuple[tuple[Command, ...], int]:
+def _known(table: Table) -> tuple[tuple[Command, ...], int]:
     rows = table.raw.get("cmds") or []
     if not isinstance(rows, list):
         raise ConfigError(f"{table.key('cmds')}: must be a list")
@@ -113,31 +86,28 @@
 
 def parse(raw: Any, env: Mapping[str, str]) -> Config:
     """What the environment says stands in for what the file leaves out."""
-    top = _Table(raw)
-    settings = top.table("settings")
-    bounds = settings.table("bounds")
-    sockets = top.table("limits", optional=True).count("sockets")
-    if sockets <= 2 * SPARE_SOCKETS:
-        raise ConfigError(f"limits.sockets: must be above {2 * SPARE_SOCKETS}, not {sockets}")
-    try:
-        parsed = parse_settings(settings.raw)
-    except SettingsError as e:
-        raise ConfigError(f"settings.{e}") from None
-    known, cursor = _known(top.table("known", optional=True))
+    top = Table(raw, "")
+    settings = parse_settings(top.get("settings"), "settings")
+    bounds = top.table("settings").table("bounds")
+    sockets = _count(top.table("limits", {}), "sockets")
+    if sockets < SOCKETS_LEAST:
+        raise ConfigError(f"limits.sockets must be at least {SOCKETS_LEAST}, not {sockets}")
+    shared = sockets - min(SPARE_SOCKETS, sockets // 4)
+    known, cursor = _known(top.table("known", {}))
     return Config(
-        name=top.text("name", env.get("ROUTER_NAME")),
-        listen=top.address("listen", env.get("ROUTER_LISTEN"), 0),  # 0: any free port
+        name=top.text("name", env.get("ROUTER_NAME", NEEDED)),
+        listen=_address(top, "listen", env.get("ROUTER_LISTEN"), 0),  # 0: any free port
         seed=_seed(top.text("seed", "0")),
-        channel=top.address("channel") if top.raw.get("channel") else None,
+        channel=_address(top, "channel") if top.raw.get("channel") else None,
         known=known,
         cursor=cursor,
-        settings=parsed,
-        dial_timeout_us=bounds.count("dialTimeoutUs"),
-        keepalive_us=bounds.count("keepaliveUs"),
-        streams_per_connection=bounds.count("streamsPerConn"),
-        open_most=bounds.count("maxOpen"),
-        clients_most=(sockets - SPARE_SOCKETS) // 2,
-        engine_sockets_most=max(2, (sockets - SPARE_SOCKETS) // 2 // 32),
+        settings=settings,
+        dial_timeout_us=_count(bounds, "dialTimeoutUs"),
+        keepalive_us=_count(bounds, "keepaliveUs"),
+        streams_per_connection=_count(bounds, "streamsPerConn"),
+        open_most=_count(bounds, "maxOpen"),
+        clients_most=shared // 2,
+        engine_sockets_most=max(2, shared // 2 // 32),
     )
 
 
--- a/hollowhitch/net/clients.py
+++ b/hollowhitch/net/clients.py
@@ -8,7 +8,7 @@
 from gevent.server import StreamServer
 
 from hollowhitch.config import Config
-from hollowhitch.gateway import Answer, Gateway, Query, Refused, Served
+from hollowhitch.gateway import Answer, Failed, Gateway, Query, Refused, Served
 from hollowhitch.log import say
 from hollowhitch.net.arrivals import Arrivals, receive, want_times
 from hollowhitch.net.outbox import Outbox
@@ -88,7 +88,7 @@
     def _take(self, event: frames.FrameEvent, at_us: int) -> None:
         match event:
             case frames.Request():
-                self.front.arrivals.add(at_us, lambda: self._request(event, at_us))
+                self.front.arrivals.add(at_us, lambda: self._begin(event, at_us))
             case frames.Gone():
                 query = self._forget(event.stream)
                 self.protocol.answered(event.stream)
@@ -111,6 +111,13 @@
                 self.outbox.put(_error(0, event.reason))
                 self._end_if_done()
 
+    def _begin(self, event: frames.Request, at_us: int) -> None:
+        try:
+            self._request(event, at_us)
+        except Exception as e:  # a fault of ours costs this request, which is answered all the same
+            say("fault", f"taking a request: {type(e).__name__}: {e}")
+            self._answer(event.stream, Failed())
+
     def _request(self, event: frames.Request, at_us: int) -> None:
         front = self.front
         if event.stream not in self.protocol.open:  # its client has left meanwhile
--- a/hollowhitch/protocol/tables.py
+++ b/hollowhitch/protocol/tables.py
@@ -3,7 +3,11 @@
 from __future__ import annotations
 
 import re
+from collections.abc import Iterator
 
+Token = tuple[str, str]  # kind and text
+END: Token = ("end", "")
+DOT: Token = ("mark", ".")
 TOKEN = re.compile(
     r"""(?P<space>\s+|--[^\n]*)
     |(?P<comment>/\*)
@@ -22,6 +26,7 @@
 BETWEEN = {"only", "lateral", "table", "if", "not", "exists", "into", "from", "overwrite"}
 QUERY_BEGINS = {"select", "with", "values", "insert", "update", "delete", "merge"}
 TABLES_END = {"where", "set", "select", "group", "order", "values", "having"}
+NO_TABLE_FOLLOWS = {("distinct", "from"), ("for", "update")}  # IS DISTINCT FROM; FOR UPDATE OF
 UNCOUNTED = {"staging"}
 
 
@@ -35,9 +40,8 @@
     return len(text)
 
 
-def tokens(text: str) -> list[tuple[str, str]]:
-    """Kind and text of each token that is neither space, comment nor string (a string leaves its kind)."""
-    found: list[tuple[str, str]] = []
+def tokens(text: str) -> Iterator[Token]:
+    """Kind and text of each token that is neither space nor comment (a string leaves its kind only)."""
     at = 0
     while at < len(text):
         token = TOKEN.match(text, at)
@@ -48,12 +52,37 @@
         elif kind == "dollar":
             end = text.find(word, at)
             at = len(text) if end < 0 else end + len(word)
-            found.append(("string", ""))
+            yield "string", ""
         elif kind == "quoted":
-            found.append(("name", word[1:-1].replace(word[0] * 2, word[0])))
+            yield "name", word[1:-1].replace(word[0] * 2, word[0])
         elif kind != "space":
-            found.append((kind, "" if kind == "string" else word.lower()))
-    return found
+            yield kind, "" if kind == "string" else word.lower()
+
+
+class _Reader:
+    """Tokens as they are wanted, with a look ahead: a large statement is read only up to its first table."""
+
+    def __init__(self, text: str) -> None:
+        self._tokens = tokens(text)
+        self._ahead: list[Token] = []
+
+    def peek(self, n: int = 0) -> Token:
+        while len(self._ahead) <= n:
+            self._ahead.append(next(self._tokens, END))
+        return self._ahead[n]
+
+    def next(self) -> Token:
+        token = self.peek()
+        del self._ahead[0]
+        return token
+
+    def path(self, first: str) -> list[str]:
+        """The parts of the dotted name that begins with `first`."""
+        parts = [first]
+        while self.peek() == DOT and self.peek(1)[0] in ("word", "name"):
+            self.next()
+            parts.append(self.next()[1])
+        return parts
 
 
 class _Level:
@@ -67,45 +96,36 @@
 
 def table_group(statement: str) -> int:
     """The group of tables that the statement reads or writes; 0 if it names none."""
-    list_, levels = tokens(statement), [_Level(True, False)]
-    before, i = "", 0
-    while i < len(list_):
-        kind, word = list_[i]
-        level = levels[-1]
+    reader, levels = _Reader(statement), [_Level(True, False)]
+    before: Token = END
+    while (token := reader.next()) != END:
+        (kind, word), level = token, levels[-1]
         if kind == "mark":
-            if word == "(":
-                follows = list_[i + 1] if i + 1 < len(list_) else ("", "")
-                begins = follows == ("mark", "(") or (follows[0] == "word" and follows[1] in QUERY_BEGINS)
-                levels.append(_Level(level.wants or (begins and level.query), level.wants and not begins))
-                level.wants = False
-            elif word == ")" and len(levels) > 1:
-                levels.pop()
-            elif word == ",":
-                level.wants = level.listing
-            elif word == ";":
-                levels = [_Level(True, False)]
-        elif kind == "word" and word in TABLE_FOLLOWS and level.query and not _dotted(list_, i):
-            if not (word == "from" and before == "distinct") and not (word == "update" and before == "for"):
+            _mark(word, levels, reader)
+        elif kind == "word" and word in TABLE_FOLLOWS and level.query and DOT not in (before, reader.peek()):
+            if (before[1], word) not in NO_TABLE_FOLLOWS:
                 level.wants = level.listing = True
         elif kind in ("word", "name") and level.wants and not (kind == "word" and word in BETWEEN):
-            parts, i = _path(list_, i)
+            parts = reader.path(word)
             level.wants = False
             if len(parts) > 1 and parts[-2].lower() not in UNCOUNTED and (group := GROUP.search(parts[-2])):
                 return int(group.group(1))
         elif kind == "word" and word in TABLES_END:
             level.wants = level.listing = False
-        before, i = word, i + 1
+        before = token
     return 0
 
 
-def _dotted(list_: list[tuple[str, str]], i: int) -> bool:
-    return (i > 0 and list_[i - 1] == ("mark", ".")) or (i + 1 < len(list_) and list_[i + 1] == ("mark", "."))
-
-
-def _path(list_: list[tuple[str, str]], i: int) -> tuple[list[str], int]:
-    """The parts of a dotted name that begins at i, and where its last part stands."""
-    parts = [list_[i][1]]
-    while i + 2 < len(list_) and list_[i + 1] == ("mark", ".") and list_[i + 2][0] in ("word", "name"):
-        i += 2
-        parts.append(list_[i][1])
-    return parts, i
+def _mark(mark: str, levels: list[_Level], reader: _Reader) -> None:
+    level = levels[-1]
+    if mark == "(":
+        kind, word = reader.peek()
+        begins = word == "(" or (kind == "word" and word in QUERY_BEGINS)
+        levels.append(_Level(level.wants or (begins and level.query), level.wants and not begins))
+        level.wants = False
+    elif mark == ")" and len(levels) > 1:
+        levels.pop()
+    elif mark == ",":
+        level.wants = level.listing
+    elif mark == ";":
+        levels[:] = [_Level(True, False)]
--- a/hollowhitch/settings.py
+++ b/hollowhitch/settings.py
@@ -60,12 +60,12 @@
         return math.nan
 
 
-class _Table:
+class Table:
     """A JSON object of the settings; each complaint names its key. None stands for a key left out."""
 
     def __init__(self, raw: Any, path: str) -> None:
         if not isinstance(raw, dict):
-            raise SettingsError(f"{path or 'settings'} must be an object")
+            raise SettingsError(f"{path or 'the whole'} must be an object")
         self.raw, self.path = raw, path
 
     def key(self, name: str) -> str:
@@ -88,21 +88,29 @@
 
     def check(self, name: str, value: Any) -> Any:
         """A number, or None where that is the default."""
-        if value is not None and (isinstance(value, bool) or not isinstance(value, int | float)):
+        if value is None:
+            return None
+        if isinstance(value, bool) or not isinstance(value, int | float) or not math.isfinite(value):
             raise SettingsError(f"{self.key(name)} must be a number, not {value!r}")
         return value
 
     def flag(self, name: str) -> bool:
         return bool(self.get(name, False))
 
-    def table(self, name: str, default: Any = NEEDED) -> _Table:
-        return _Table(self.get(name, default), self.key(name))
+    def table(self, name: str, default: Any = NEEDED) -> Table:
+        return Table(self.get(name, default), self.key(name))
 
-    def rows(self, name: str, default: Any = NEEDED) -> list[_Table]:
+    def rows(self, name: str, default: Any = NEEDED) -> list[Table]:
         rows = self.get(name, default)
         if not isinstance(rows, list | tuple):
             raise SettingsError(f"{self.key(name)} must be a list")
-        return [_Table(row, f"{self.key(name)}[{i}]") for i, row in enumerate(rows)]
+        return [Table(row, f"{self.key(name)}[{i}]") for i, row in enumerate(rows)]
+
+    def text(self, name: str, default: Any = NEEDED) -> str:
+        value = self.get(name, default)
+        if not isinstance(value, str) or not value:
+            raise SettingsError(f"{self.key(name)} must be text, not {value!r}")
+        return value
 
     def names(self, name: str) -> tuple[str, ...]:
         values = self.get(name, ())
@@ -124,9 +132,9 @@
         return choices[value]
 
 
-def parse_settings(info: Any) -> Settings:
+def parse_settings(info: Any, path: str = "") -> Settings:
     """Turn the settings object into settings; keys nobody knows are passed over."""
-    top = _Table(info, "")
+    top = Table(info, path)
     bounds, rules = top.table("bounds"), top.table("rules")
     extra, prices, load = (top.table(name, {}) for name in ("extra", "deductions", "loadInfo"))
     kinds, rows = top.names("kinds"), top.rows("classes")
@@ -182,10 +190,10 @@
     except SettingsError:
         raise
     except ValueError as e:  # what the types themselves refuse
-        raise SettingsError(str(e)) from None
+        raise SettingsError(f"{path or 'settings'}: {e}") from None
 
 
-def _query_class(c: _Table, threads: Any, is_load: Any, waits: Any) -> QueryClass:
+def _query_class(c: Table, threads: Any, is_load: Any, waits: Any) -> QueryClass:
     return QueryClass(
         name=c.get("name"),
         aim_us=c.whole("goalTimeUs"),
@@ -205,7 +213,7 @@
     )
 
 
-def _rules(rules: _Table) -> Rules:
+def _rules(rules: Table) -> Rules:
     share = rules.number("extraPerRequest", None)
     return Rules(
         answer_slack_us=rules.whole("answerSlackUs", 0),
--- a/tests/conftest.py
+++ b/tests/conftest.py
@@ -4,10 +4,11 @@
 
 import dataclasses
 import itertools
-from collections.abc import Callable
+from collections.abc import Callable, Iterator
 from typing import Any
 
 from hypothesis import settings as hypothesis_settings
+from hypothesis import strategies as st
 
 from hollowhitch import Controller
 from hollowhitch.policy import interface as api
@@ -59,6 +60,14 @@
     return dataclasses.replace(empty, **shares)
 
 
+def pieces(data: Any, raw: bytes) -> Iterator[bytes]:
+    """Some bytes, split at random as reads from a socket are."""
+    while raw:
+        size = data.draw(st.integers(1, len(raw)))
+        yield raw[:size]
+        raw = raw[size:]
+
+
 class Gateway:
     """A controller with a clock and a memory of what it did."""
 
--- a/tests/test_frames.py
+++ b/tests/test_frames.py
@@ -7,7 +7,7 @@
 from hypothesis import strategies as st
 
 from hollowhitch.protocol import frames
-from tests.conftest import query_class
+from tests.conftest import pieces, query_class
 
 CLASSES = {"q": query_class("q")}
 GOOD = {"service": "q", "ref": "9b1f03aa5c7e2d41", "allow": "1500", "project": "acme", "effort": "820.0",
@@ -82,12 +82,7 @@
     protocol, opened, used = frames.ClientProtocol(), set(), set()
 
     def feed(raw: bytes) -> list[frames.FrameEvent]:
-        events, at = [], 0
-        while at < len(raw):
-            size = data.draw(st.integers(1, len(raw) - at))
-            events += protocol.feed(raw[at : at + size])
-            at += size
-        return events
+        return [e for piece in pieces(data, raw) for e in protocol.feed(piece)]
 
     for name, stream, extra in steps:
         if protocol.broken:
--- a/tests/test_lines.py
+++ b/tests/test_lines.py
@@ -8,6 +8,7 @@
 
 from hollowhitch.policy.interface import Outcome
 from hollowhitch.protocol.lines import LINE_MOST, EngineProtocol, Finished, LineError, whole_rows
+from tests.conftest import pieces
 
 A, B = "00000000000000aa", "00000000000000bb"
 
@@ -109,12 +110,7 @@
     protocol, model, used = EngineProtocol(True), {}, set()
 
     def feed(raw: bytes) -> list[Finished]:
-        done, at = [], 0
-        while at < len(raw):
-            size = data.draw(st.integers(1, len(raw) - at))
-            done += protocol.feed(raw[at : at + size])
-            at += size
-        return done
+        return [e for piece in pieces(data, raw) for e in protocol.feed(piece)]
 
     for name, ref, n in steps:
         pages = model.get(ref)
--- a/tests/test_proxy.py
+++ b/tests/test_proxy.py
@@ -198,6 +198,17 @@
     assert client.read() is None
 
 
+def test_a_fault_in_taking_a_request_costs_that_request(start, monkeypatch):
+    proxy, _ = start(rows)
+    client = Client(proxy)
+    monkeypatch.setattr(clients, "table_group", lambda text: 1 / 0)
+    client.ask(1)
+    assert client.answer()[:2] == (1, frames.FAILED)
+    monkeypatch.undo()
+    client.ask(2)
+    assert client.answer()[:2] == (2, frames.SERVED)
+
+
 def test_a_late_answer_to_an_old_attempt_is_not_the_new_ones(start):
     """The same id goes to the same engine twice: over another connection, where the old answer can't come."""
     proxy, (engine,) = start(silent)
--- a/tests/test_tables.py
+++ b/tests/test_tables.py
@@ -6,6 +6,7 @@
 from hypothesis import given
 from hypothesis import strategies as st
 
+from hollowhitch.protocol import tables
 from hollowhitch.protocol.tables import table_group
 
 
@@ -37,6 +38,22 @@
     assert table_group(statement) == group
 
 
+def test_a_large_statement_is_read_up_to_its_first_table_only():
+    """Guards the loop: reading 256 KB to the end would hold up every other connection."""
+    statement = "select a from s_4.t where x in (" + "1," * 100_000 + "1)"
+    read = []
+    lexed = tables.tokens
+
+    def counted(text):
+        for token in lexed(text):
+            read.append(token)
+            yield token
+
+    with pytest.MonkeyPatch.context() as m:
+        m.setattr(tables, "tokens", counted)
+        assert table_group(statement) == 4 and len(read) < 20
+
+
 @given(st.text(alphabet="from select,.()'\"/*-_1a$;\n", max_size=80))
 def test_any_text_has_an_answer(text):
     assert table_group(text) >= 0
