--- a/hollowhitch/__main__.py
+++ b/hollowhitch/__main__.py
@@ -7,6 +7,7 @@
 import os
 import signal
 import sys
+import time
 
 import gevent
 from gevent.event import Event
@@ -23,6 +24,7 @@
 
 TAKES_S = 0.9  # after SIGTERM: how long what still comes is taken and served
 POLL_S = 0.02
+WATCH_S, STANDSTILL_S = 0.05, 0.04  # how often the loop is looked at; what is worth a line
 COLLECT_EVERY = 20_000  # new objects between collections: short ones, but not for every few queries
 
 
@@ -53,9 +55,19 @@
         if self.config.channel is not None:
             gevent.spawn(ChannelFollower(self.config.channel, self.config.cursor, self.apply).run)
         gevent.spawn(self.pools.sweep_forever)
+        gevent.spawn(self.watch_standstills)
         self.front.start()
         say("proxy", f"{self.config.name} listens on {self.front.address[0]}:{self.front.address[1]}")
 
+    def watch_standstills(self) -> None:
+        """Say when the loop stood still: answers were late then, and nothing else would tell why."""
+        while True:
+            before = time.monotonic()
+            gevent.sleep(WATCH_S)
+            late = time.monotonic() - before - WATCH_S
+            if late > STANDSTILL_S:
+                say("standstill", f"of {late * 1000:.0f} ms")
+
     def run(self) -> int:
         for number in (signal.SIGTERM, signal.SIGINT):
             gevent.signal_handler(number, self.end.set)
--- a/hollowhitch/gateway.py
+++ b/hollowhitch/gateway.py
@@ -131,6 +131,7 @@
     def left(self, query: Query) -> None:
         """The client no longer waits."""
         if not query.over:
+            say("left", f"{query.ref}, {query.expires_us - self.clock.now_us()} us before its time was up")
             self._over(query)
             self.post(api.ClientLeft(query.arrived.id))
 
@@ -272,6 +273,9 @@
             attempt.timer = None
 
     def _answer(self, query: Query, answer: Answer) -> None:
+        late_us = self.clock.now_us() - query.expires_us
+        if late_us > 0:  # within the rule's slack at best
+            say("late", f"{type(answer).__name__} to {query.ref}, {late_us} us after its client gave up")
         self._over(query)
         query.answer(answer)
 
