Dial addresses in figures without the resolver's thread; test the channel end to end

Seen: a probe of gevent's create_connection took 25 ms and a second thread for its first call, 0.4 ms and none for a plain connect to the same address; every address here is in figures. It delayed the first query on a fresh process and the first channel call. net/engines.Pool._dial and net/channel.ChannelFollower._follow use net/dial now. The new channel test covers an ended call, a silent one and an event sent twice; it passes on the code as it was.

--- a/hollowhitch/net/channel.py
+++ b/hollowhitch/net/channel.py
@@ -5,10 +5,10 @@
 from collections.abc import Callable
 
 import gevent
-from gevent import socket
 
 from hollowhitch.config import Address
 from hollowhitch.log import say
+from hollowhitch.net.dial import dial
 from hollowhitch.protocol.buffer import ReceiveBuffer
 from hollowhitch.protocol.channel import (
     ChannelError,
@@ -44,7 +44,7 @@
             gevent.sleep(pause)
 
     def _follow(self) -> None:
-        with socket.create_connection(self._address, CONNECT_S) as sock:
+        with dial(self._address, CONNECT_S) as sock:
             sock.settimeout(SILENT_S)
             host = f"{self._address[0]}:{self._address[1]}"
             sock.sendall(format_call(PATH, host, self.cursor))
--- a/hollowhitch/net/engines.py
+++ b/hollowhitch/net/engines.py
@@ -13,6 +13,7 @@
 from hollowhitch.config import Address, Config
 from hollowhitch.gateway import Attempt, CallLater, Clock, Gateway
 from hollowhitch.log import say
+from hollowhitch.net.dial import dial
 from hollowhitch.net.outbox import Outbox
 from hollowhitch.policy.interface import EngineList, EngineState, ListKind, LoadReport, Outcome, ProbeEnded
 from hollowhitch.protocol.lines import EngineProtocol, LineError
@@ -178,7 +179,7 @@
     def _dial(self) -> None:
         address = self.address
         try:
-            sock = socket.create_connection(address, self.owner.config.dial_timeout_us / 1e6)
+            sock = dial(address, self.owner.config.dial_timeout_us / 1e6)
         except OSError as e:
             say("engine", f"{self.id}: connect: {e}")
             self.dialing = False
@@ -188,7 +189,6 @@
             return
         self.dialing = False
         sock.settimeout(None)
-        sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
         if address != self.address:  # it has moved meanwhile; whoever is there now is another engine
             sock.close()
         else:
--- a/tests/test_channel.py
+++ b/tests/test_channel.py
@@ -2,10 +2,13 @@
 
 from __future__ import annotations
 
+import gevent
 import pytest
+from gevent.server import StreamServer
 from hypothesis import given
 from hypothesis import strategies as st
 
+from hollowhitch.net import channel
 from hollowhitch.net.channel import BAD_MOST, ChannelFollower
 from hollowhitch.policy.interface import EngineState, ListKind
 from hollowhitch.protocol.channel import ChannelError, ChannelProtocol, ServerEvent, decode_event
@@ -69,6 +72,31 @@
     assert seen == [6]
 
 
+def test_the_channel_is_called_again_from_where_it_was_after_an_end_and_after_silence(monkeypatch):
+    monkeypatch.setattr(channel, "SILENT_S", 0.05)
+    calls: list[bytes] = []
+
+    def speak(sock, _) -> None:
+        calls.append(next(x for x in sock.recv(4096).split(b"\r\n") if x.startswith(b"Last-Event-ID")))
+        n = len(calls)
+        text = "".join(f"id: {c}\ndata: {event(c).data}\n\n" for c in (2 + n, 3 + n))
+        sock.sendall(HEAD + chunk(text))
+        if n > 1:  # the first call ends, the second falls silent
+            gevent.sleep(30)
+
+    server = StreamServer(("127.0.0.1", 0), speak)
+    server.start()
+    seen: list[int] = []
+    f = ChannelFollower(server.address, 3, lambda command: seen.append(command.cursor))
+    with gevent.Timeout(30):
+        task = gevent.spawn(f.run)
+        while len(calls) < 3:
+            gevent.sleep(0.001)
+    task.kill()
+    server.stop()
+    assert calls[:3] == [b"Last-Event-ID: %d" % n for n in (3, 4, 5)] and seen[:2] == [4, 5]
+
+
 def test_an_event_that_never_can_be_read_is_passed_over():
     """Guards against one bad event that would keep every later one from being heard."""
     f, seen = follower()
--- a/tests/test_proxy.py
+++ b/tests/test_proxy.py
@@ -19,6 +19,7 @@
 from hollowhitch import __main__ as program
 from hollowhitch import config as configuration
 from hollowhitch.net import clients
+from hollowhitch.net.dial import dial
 from hollowhitch.net.timers import Timers
 from hollowhitch.protocol import frames
 from hollowhitch.protocol.channel import parse_command
@@ -305,6 +306,17 @@
     assert not query.attempts[0].ended and proxy.pools.give_up(query.attempts[0])
 
 
+def test_dialing_asks_no_resolver(start, monkeypatch):
+    """Guards the first query on each engine against 25 ms in a resolver's thread."""
+    monkeypatch.setattr(gevent.get_hub().resolver, "getaddrinfo", lambda *a, **k: 1 / 0)
+    proxy, (engine,) = start(rows)
+    with dial(("127.0.0.1", engine.port), 5) as sock:
+        assert sock.getpeername()[1] == engine.port
+    engine.server.stop()
+    with pytest.raises(OSError):
+        dial(("127.0.0.1", engine.port), 5)
+
+
 def test_calls_made_later_come_in_order_and_not_once_cancelled():
     timers, made, done = Timers(), [], Event()
     late = timers.later(0.02, lambda: made.append("late"))
