--- a/hollowhitch/gateway.py
+++ b/hollowhitch/gateway.py
@@ -135,7 +135,6 @@
     def left(self, query: Query) -> None:
         """The client no longer waits."""
         if not query.over:
-            say("left", f"{query.ref}, {query.expires_us - self.clock.now_us()} us before its time was up")
             self._over(query)
             self.post(api.ClientLeft(query.arrived.id))
 
