Read the configuration anew on SIGHUP and follow the channel it names

Now SIGHUP reads the file; a faulty one is logged with its key and changes nothing; ChannelFollower.follow drops the old call and asks the new address from the same cursor.

The tests fail without the handler: the program ends on SIGHUP.

--- a/hollowhitch/__main__.py
+++ b/hollowhitch/__main__.py
@@ -8,6 +8,7 @@
 import signal
 import sys
 import time
+from collections.abc import Mapping
 
 import gevent
 from gevent.event import Event
@@ -25,6 +26,7 @@
 TAKES_S = 0.9  # after SIGTERM: how long what still comes is taken and served
 POLL_S = 0.02
 WATCH_S, STANDSTILL_S = 0.05, 0.04  # how often the loop is looked at; what is worth a line
+READ_ANEW, NEW_EACH_TIME = ("channel",), ("known", "cursor", "seed")  # at SIGHUP; with every file
 COLLECT_EVERY = 20_000  # new objects between collections: short ones, but not for every few queries
 
 
@@ -37,6 +39,7 @@
         self.gateway = Gateway(config.settings, config.seed, self.pools, timers.later, self.clock)
         self.pools.gateway = self.gateway
         self.front = Front(config, self.gateway)
+        self.channel = ChannelFollower(config.cursor, self.apply)
         self.end = Event()  # set to end in order
 
     def apply(self, command: Command) -> None:
@@ -53,13 +56,26 @@
                 cached = dataclasses.replace(command.engines, kind=ListKind.CACHED)
                 command = dataclasses.replace(command, engines=cached)
             self.apply(command)
-        if self.config.channel is not None:
-            gevent.spawn(ChannelFollower(self.config.channel, self.config.cursor, self.apply).run)
+        self.channel.follow(self.config.channel)
         gevent.spawn(self.pools.sweep_forever)
         gevent.spawn(self.watch_standstills)
         self.front.start()
         say("proxy", f"{self.config.name} listens on {self.front.address[0]}:{self.front.address[1]}")
 
+    def reread(self, env: Mapping[str, str]) -> None:
+        """The file was replaced: follow the channel it names. All else in it holds from the next start on.
+        A file that can't be used changes nothing."""
+        try:
+            config = configuration.read(env)
+        except configuration.ConfigError as e:
+            say("configuration", f"the old one stays: {e}")
+            return
+        names = {f.name for f in dataclasses.fields(config)} - set(READ_ANEW + NEW_EACH_TIME)
+        later = sorted(n for n in names if getattr(config, n) != getattr(self.config, n))
+        held_back = f"; changed, but only from the next start on: {', '.join(later)}" if later else ""
+        say("configuration", f"read anew, the channel is {config.channel}{held_back}")
+        self.channel.follow(config.channel)
+
     def watch_standstills(self) -> None:
         """Say when the loop stood still: answers were late then, and nothing else would tell why."""
         while True:
@@ -72,6 +88,7 @@
     def run(self) -> int:
         for number in (signal.SIGTERM, signal.SIGINT):
             gevent.signal_handler(number, self.end.set)
+        gevent.signal_handler(signal.SIGHUP, self.reread, os.environ)
         gc.collect()
         gc.freeze()
         gc.set_threshold(COLLECT_EVERY, 20, 20)
--- a/hollowhitch/net/channel.py
+++ b/hollowhitch/net/channel.py
@@ -27,26 +27,38 @@
 
 
 class ChannelFollower:
-    def __init__(self, address: Address, cursor: int, apply: Callable[[Command], None]) -> None:
-        self._address, self.cursor, self._apply = address, cursor, apply
+    def __init__(self, cursor: int, apply: Callable[[Command], None]) -> None:
+        self._address: Address | None = None
+        self.cursor, self._apply = cursor, apply
         self._gap_at = -1  # the cursor at which a gap was seen
         self._bad = 0
+        self._caller: gevent.Greenlet | None = None
 
-    def run(self) -> None:
+    def follow(self, address: Address | None) -> None:
+        """Call there from now on, from where we are; None: nowhere. A call to the old address ends at once:
+        it tells nothing more. Nothing is lost with it, since an event is applied without a switch."""
+        if self._caller is not None and address == self._address and not self._caller.dead:
+            return
+        if self._caller is not None:
+            self._caller.kill(block=False)
+        self._address, self._gap_at, self._bad = address, -1, 0
+        self._caller = gevent.spawn(self._run) if address is not None else None
+
+    def _run(self) -> None:
         pause = PAUSE_S
-        while True:
+        while (address := self._address) is not None:
             before = self.cursor
             try:
-                self._follow()
+                self._call(address)
             except (OSError, ChannelError) as e:
                 say("channel", f"{type(e).__name__}: {e}")
             pause = PAUSE_S if self.cursor != before else min(2 * pause, PAUSE_MOST_S)
             gevent.sleep(pause)
 
-    def _follow(self) -> None:
-        with dial(self._address, CONNECT_S) as sock:
+    def _call(self, address: Address) -> None:
+        with dial(address, CONNECT_S) as sock:
             sock.settimeout(SILENT_S)
-            host = f"{self._address[0]}:{self._address[1]}"
+            host = f"{address[0]}:{address[1]}"
             sock.sendall(format_call(PATH, host, self.cursor))
             protocol, buffer = ChannelProtocol(), ReceiveBuffer()
             while not protocol.ended:
--- a/tests/test_channel.py
+++ b/tests/test_channel.py
@@ -54,7 +54,7 @@
 
 def follower() -> tuple[ChannelFollower, list[int]]:
     seen: list[int] = []
-    return ChannelFollower(("127.0.0.1", 1), 3, lambda command: seen.append(command.cursor)), seen
+    return ChannelFollower(3, lambda command: seen.append(command.cursor)), seen
 
 
 def test_an_event_is_applied_once():
@@ -86,17 +86,44 @@
 
     server = StreamServer(("127.0.0.1", 0), speak)
     server.start()
-    seen: list[int] = []
-    f = ChannelFollower(server.address, 3, lambda command: seen.append(command.cursor))
+    f, seen = follower()
     with gevent.Timeout(30):
-        task = gevent.spawn(f.run)
+        f.follow(server.address)
         while len(calls) < 3:
             gevent.sleep(0.001)
-    task.kill()
+    f.follow(None)
     server.stop()
     assert calls[:3] == [b"Last-Event-ID: %d" % n for n in (3, 4, 5)] and seen[:2] == [4, 5]
 
 
+def test_a_new_address_is_followed_from_the_same_cursor_and_the_old_one_hung_up_on():
+    heard: list[tuple[str, bytes]] = []
+
+    def place(name: str, cursor: int) -> StreamServer:
+        def speak(sock, _) -> None:
+            heard.append((name, next(x for x in sock.recv(4096).split(b"\r\n") if x.startswith(b"Last"))))
+            sock.sendall(HEAD + chunk(f"id: {cursor}\ndata: {event(cursor).data}\n\n"))
+            heard.append((name, sock.recv(1)))  # until the follower hangs up
+
+        server = StreamServer(("127.0.0.1", 0), speak)
+        server.start()
+        return server
+
+    old, new = place("old", 4), place("new", 5)
+    f, seen = follower()
+    with gevent.Timeout(30):
+        for server in (old, new):
+            f.follow(server.address)
+            while not seen or seen[-1] != (4 if server is old else 5):
+                gevent.sleep(0.001)
+        f.follow(new.address)  # no news: nothing is disturbed
+        while ("old", b"") not in heard:
+            gevent.sleep(0.001)
+    f.follow(None)
+    assert sorted(heard) == [
+        ("new", b"Last-Event-ID: 4"), ("old", b""), ("old", b"Last-Event-ID: 3")] and seen == [4, 5]
+
+
 def test_an_event_that_never_can_be_read_is_passed_over():
     """Guards against one bad event that would keep every later one from being heard."""
     f, seen = follower()
--- a/tests/test_proxy.py
+++ b/tests/test_proxy.py
@@ -353,7 +353,23 @@
     assert open_one.read() is None
 
 
-def test_the_program_ends_with_0_after_sigterm(tmp_path):
+def test_sighup_takes_the_new_channel_and_nothing_from_a_faulty_file(start, tmp_path, capsys):
+    proxy, _ = start(rows)
+    path = tmp_path / "c.json"
+    env = {"ROUTER_CONFIG": str(path)}
+    followed = []
+    proxy.channel.follow = followed.append
+    for changes in ({"channel": "127.0.0.1:9"}, {"channel": "nowhere"}):
+        path.write_text(json.dumps(boot.config(**changes)))
+        proxy.reread(env)
+    path.write_text("{")
+    proxy.reread(env)
+    assert followed == [("127.0.0.1", 9)]
+    said = capsys.readouterr().err
+    assert "stays: channel: 'nowhere' is not host:port" in said and "is not JSON" in said
+
+
+def test_the_program_lives_through_sighup_and_ends_with_0_after_sigterm(tmp_path):
     path = tmp_path / "c.json"
     path.write_text(json.dumps(boot.config(boot.member("e0", 1))))
     env = {**os.environ, "ROUTER_CONFIG": str(path)}
@@ -361,6 +377,8 @@
     try:
         host, _, port = run.stderr.readline().decode().split()[-1].rpartition(":")
         sock = socket.create_connection((host, int(port)))
+        run.send_signal(signal.SIGHUP)
+        assert "read anew" in run.stderr.readline().decode()
         run.send_signal(signal.SIGTERM)
         assert sock.recv(9) == frames.format_frame(frames.CLOSING, 0)
         assert run.wait(30) == 0
