Make room for new clients, close late ones and hold no more than memory allows

Clients that ask once and stay filled the 96 places; net/clients.Front's StreamServer(spawn=Pool) then stopped accepting, and what lay in the kernel's queue counts as taken: a later load of that key on another connection overtook it. Descriptors stood still at 111, which fits; nothing in the logs.

Now at the limit the connections that wait for no answer are closed, those that ended or never asked first, then the longest quiet. A connection without a whole frame for 2 s is closed with an error. limits.memory_mb bounds statements, half-read frames and unwritten answers together; a frame without room is refused on its head. Engines keep a quarter of the descriptors. Unusable frames slow their own reader down.

--- a/hollowhitch/config.py
+++ b/hollowhitch/config.py
@@ -18,13 +18,18 @@
 
 DEFAULTS = {
     "limits.sockets": 1024,
+    "limits.memory_mb": 192,
     "settings.bounds.dialTimeoutUs": 250_000,
     "settings.bounds.keepaliveUs": 30_000_000,
     "settings.bounds.streamsPerConn": 100,
     "settings.bounds.maxOpen": 20_000,
 }
-SPARE_SOCKETS = 64  # of the limit, a quarter at most: for the log, the loop, the listener, the channel
+SPARE_SOCKETS = 24  # of the limit, a quarter at most: for the log, the loop, the listener, the channel
+ENGINES_SHARE, ENGINES_MOST = 0.25, 16  # of the limit, for connections to so many engines
 SOCKETS_LEAST = 32
+OWN_MB, REST_LEAST_MB = 20, 4  # what the program takes by itself, measured; what is taken to be left at least
+HELD_SHARE, HELD_MOST = 0.5, 32 << 20  # of the rest: statements, half-read frames, unwritten answers; bytes
+QUERY_BYTES = 3_000  # of the books on an open query
 
 
 @dataclass(frozen=True, slots=True)
@@ -42,6 +47,7 @@
     open_most: int
     clients_most: int  # client connections
     engine_sockets_most: int  # connections to one engine
+    held_most: int  # bytes held for clients
 
 
 def _count(table: Table, name: str) -> int:
@@ -92,7 +98,9 @@
     sockets = _count(top.table("limits", {}), "sockets")
     if sockets < SOCKETS_LEAST:
         raise ConfigError(f"limits.sockets must be at least {SOCKETS_LEAST}, not {sockets}")
-    shared = sockets - min(SPARE_SOCKETS, sockets // 4)
+    memory_mb = _count(top.table("limits", {}), "memory_mb")
+    held = min(int(max(memory_mb - OWN_MB, REST_LEAST_MB) * HELD_SHARE * (1 << 20)), HELD_MOST)
+    for_engines = int(sockets * ENGINES_SHARE)
     known, cursor = _known(top.table("known", {}))
     return Config(
         name=top.text("name", env.get("ROUTER_NAME", NEEDED)),
@@ -105,9 +113,10 @@
         dial_timeout_us=_count(bounds, "dialTimeoutUs"),
         keepalive_us=_count(bounds, "keepaliveUs"),
         streams_per_connection=_count(bounds, "streamsPerConn"),
-        open_most=_count(bounds, "maxOpen"),
-        clients_most=shared // 2,
-        engine_sockets_most=max(2, shared // 2 // 32),
+        open_most=min(_count(bounds, "maxOpen"), held // QUERY_BYTES),
+        clients_most=sockets - for_engines - min(SPARE_SOCKETS, sockets // 4),
+        engine_sockets_most=max(2, for_engines // ENGINES_MOST),
+        held_most=held,
     )
 
 
--- a/hollowhitch/net/clients.py
+++ b/hollowhitch/net/clients.py
@@ -2,9 +2,13 @@
 
 from __future__ import annotations
 
+import array
+import fcntl
+import termios
+import time
+
 import gevent
 from gevent import socket
-from gevent.pool import Pool
 from gevent.server import StreamServer
 
 from hollowhitch.config import Config
@@ -16,10 +20,17 @@
 from hollowhitch.protocol.tables import table_group
 
 OUTBOX_MOST = 256 * 1024  # bytes that wait for a client before no more is read from it
-HELD_MOST = 32 << 20  # bytes of statements and of answers not yet written, over all clients
 IDLE_S = 30.0  # without a byte while nothing is open, or with a write that does not move
+WHOLE_S = 2.0  # from connecting, or from a frame's first byte, until it is whole
+FRESH_S = 0.25  # after connecting, in which a request may well be on its way
+SWEEP_S = 0.25  # between looks at who is past these times
 LINGER_S = 0.5  # for the client to read what was written, after we have ended
 TURN = 32  # frames read from one connection before others have a turn
+EVICTED = 8  # connections closed at once to make room: whoever is there too many seldom comes alone
+PACE_S, PACE_MOST_S = 0.01, 0.5  # pause in reading, for each frame so far that could not be used
+DISCARD_S = 0.05  # between reads of what follows bytes that were no frame
+LARGE = 8192  # frames above it are looked at before they are buffered
+HALF, IDLE = "no whole frame in time", "idle"
 
 
 class ClientConnection:
@@ -29,6 +40,9 @@
         self.outbox = Outbox(sock, OUTBOX_MOST)
         self.queries: dict[int, Query] = {}  # by stream
         self.warned = self.ending = False
+        self.asked = False  # it has sent a whole frame
+        self.moved = self.frame_since = time.monotonic()  # last byte read or answer; first byte of a frame
+        self.offences = 0
 
     def run(self) -> None:
         self.sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
@@ -64,15 +78,61 @@
                 with protocol.buffer.room() as room:
                     count, at_us = receive(self.sock, room, self.front.gateway.clock.now_us)
             except TimeoutError:
-                if protocol.open and not self.ending:
-                    continue
-                return
+                continue  # who is silent for too long is the sweep's to tell
             if count == 0:
                 return
-            for turn, event in enumerate(protocol.received(count), 1):
+            self.moved, offences = time.monotonic(), self.offences
+            if not len(protocol.buffer):
+                self.frame_since = self.moved
+            events = protocol.received(count, lambda size: size <= LARGE or self.front.room_for(size))
+            if events:
+                self.asked, self.frame_since = True, self.moved
+            for turn, event in enumerate(events, 1):
                 self._take(event, at_us)
                 if turn % TURN == 0:
                     gevent.sleep(0)
+            if protocol.broken:  # what comes now is thrown away, and must not cost the other clients our time
+                gevent.sleep(DISCARD_S)
+            elif self.offences > offences:
+                gevent.sleep(min(self.offences * PACE_S, PACE_MOST_S))
+
+    def overdue(self, now: float) -> str | None:
+        """Why it is to be closed by now, if it is. One that is quiet between requests may be
+        so for long, one that never came to the point or stopped within a frame may not."""
+        if self.ending or self.protocol.broken:
+            return None
+        if not self.asked or len(self.protocol.buffer) or self.protocol.skipping:
+            return HALF if now - self.frame_since > WHOLE_S else None
+        quiet = not self.protocol.open and self.outbox.idle
+        return IDLE if quiet and now - self.moved > IDLE_S else None
+
+    def end_overdue(self, why: str) -> None:
+        if why == IDLE:
+            self.hang_up()
+        elif not self.pending():  # else it is we who are late
+            self._take(self.protocol.give_up(why), 0)
+
+    def rank(self, now: float) -> int | None:
+        """Whom to part with first where all places are taken; None: it waits for an answer of ours."""
+        if self.ending:
+            return 0
+        if self.protocol.open or not self.outbox.idle:
+            return None
+        if not self.asked:
+            return 1 if now - self.frame_since > FRESH_S else 3
+        return 2
+
+    def pending(self) -> bool:
+        """Has it sent what we have not read yet?"""
+        count = array.array("i", [0])
+        if not self.outbox.closed:
+            fcntl.ioctl(self.sock.fileno(), termios.FIONREAD, count)
+        return count[0] > 0
+
+    def hang_up(self) -> None:
+        self.outbox.close()
+        self.sock.close()  # which ends the reader
+        self.front.connections.discard(self)
 
     def _write(self) -> None:
         try:
@@ -99,11 +159,13 @@
                 code = frames.YES if self.front.ready() else frames.NO
                 self.outbox.put(frames.format_ready(event.stream, code))
             case frames.BadRequest():
+                self.offences += 1
                 if event.crowded:
                     self._answer(event.stream, self.front.turned_away())
                 else:
                     self._bad(event.stream, event.reason)
             case frames.Duplicate():
+                self.offences += 1
                 say("client", f"stream {event.stream} was used before")
                 self.outbox.put(_error(0, f"stream {event.stream} was used before"))
             case frames.Broken():
@@ -139,6 +201,7 @@
 
     def _bad(self, stream: int, reason: str) -> None:
         say("client", f"a request that can't be used: {reason}")
+        self.offences += 1
         self.protocol.answered(stream)
         self.outbox.put(_error(stream, reason))
         self._end_if_done()
@@ -149,6 +212,7 @@
         if stream not in self.protocol.open:
             return
         self.protocol.answered(stream)
+        self.moved = time.monotonic()
         match answer:
             case Served():
                 frame = frames.format_answer(stream, frames.SERVED, {}, answer.body)
@@ -187,19 +251,48 @@
         self.connections: set[ClientConnection] = set()
         self.held = 0  # bytes of the statements that are open
         self.closing = self.closed = False  # asked to end; takes nothing new
-        self._server = StreamServer(config.listen, self._serve, backlog=512, spawn=Pool(config.clients_most))
+        self._server = StreamServer(config.listen, self._serve, backlog=512)
 
     def start(self) -> None:
         self._server.start()
+        gevent.spawn(self._sweep_forever)
+
+    def _sweep_forever(self) -> None:
+        while True:
+            gevent.sleep(SWEEP_S)
+            now = time.monotonic()
+            for connection in list(self.connections):
+                if why := connection.overdue(now):
+                    connection.end_overdue(why)
 
     def ready(self) -> bool:
         return not self.closing and any(self.gateway.controller.open_for)
 
     def crowded(self, more: int) -> bool:
         """Guards the memory limit, and the module's own limit on open queries."""
-        if self.gateway.unanswered >= self.config.open_most:
+        return self.gateway.unanswered >= self.config.open_most or not self.room_for(more)
+
+    def room_for(self, size: int) -> bool:
+        """Can so many bytes more be held for clients?"""
+        held = sum(c.outbox.size + len(c.protocol.buffer.data) for c in self.connections)
+        return self.held + held + size <= self.config.held_most
+
+    def _make_room(self) -> bool:
+        """Guards the usual clients against those that come by the hundred or keep what they do not use.
+        Letting them wait in the kernel's queue would be worse: what they send there counts as taken by us."""
+        if len(self.connections) < self.config.clients_most:
             return True
-        return self.held + more + sum(c.outbox.size for c in self.connections) > HELD_MOST
+        now = time.monotonic()
+        ranked = [(rank, c.moved, id(c), c) for c in self.connections if (rank := c.rank(now)) is not None]
+        free = EVICTED
+        for rank, _, _, connection in sorted(ranked):
+            if rank != 0 and (connection.pending() or len(connection.protocol.buffer)):
+                continue
+            connection.hang_up()
+            free -= 1
+            if not free or rank == 3:
+                break
+        return len(self.connections) < self.config.clients_most
 
     def turned_away(self) -> Refused:
         return Refused(self.gateway.settings.limits.retry_after_us or 0)
@@ -225,6 +318,9 @@
             connection.outbox.finish()
 
     def _serve(self, sock: socket.socket, _address: object) -> None:
+        if not self._make_room():
+            sock.close()
+            return
         connection = ClientConnection(self, sock)
         self.connections.add(connection)
         try:
--- a/hollowhitch/protocol/frames.py
+++ b/hollowhitch/protocol/frames.py
@@ -6,7 +6,7 @@
 import math
 import re
 import struct
-from collections.abc import Mapping
+from collections.abc import Callable, Mapping
 from dataclasses import dataclass
 
 from hollowhitch.policy.interface import Effect, QueryArrived, QueryClass
@@ -17,7 +17,7 @@
 SERVED, REFUSED, FAILED = 1, 2, 3
 YES, NO = 1, 2
 OPEN_MOST = 32  # requests open on one connection
-REMEMBERED = 1024  # answered streams that are still known as used
+REMEMBERED = 256  # answered streams that are still known as used
 
 WORD = re.compile(r"[0-9A-Za-z_.:-]{1,128}")  # what may be passed on as a word of an engine's line
 REF = re.compile(r"[0-9A-Fa-f]{16}")
@@ -39,7 +39,7 @@
 
     stream: int
     reason: str
-    crowded: bool = False  # too many are open; nothing else is wrong with it
+    crowded: bool = False  # too many are open, or it is too large now; nothing else is wrong with it
 
 
 @dataclass(frozen=True, slots=True)
@@ -170,20 +170,28 @@
         self.open: set[int] = set()
         self._used: dict[int, None] = {}
         self.broken = False
+        self.skipping = 0  # bytes still to come of a frame that is not kept
 
     def feed(self, data: bytes) -> list[FrameEvent]:
         self.buffer.put(data)
         return self.received(0)
 
-    def received(self, count: int) -> list[FrameEvent]:
-        """So many bytes were put in the buffer's room: the events they complete."""
+    def received(self, count: int, room_for: Callable[[int], bool] = lambda size: True) -> list[FrameEvent]:
+        """So many bytes were put in the buffer's room: the events they complete. A frame that is not whole
+        yet is kept only if there is room for it."""
         self.buffer.filled(count)
         events: list[FrameEvent] = []
+        self._skip()
         while not self.broken and len(self.buffer) >= 4:
             length = int.from_bytes(self.buffer.peek(0, 4), "big")
             if not LENGTH_LEAST <= length <= LENGTH_MOST:
                 events.append(self._break(f"a frame of length {length}"))
             elif len(self.buffer) < 4 + length:
+                if len(self.buffer) >= HEAD.size and not room_for(length):
+                    _, kind, stream = HEAD.unpack(self.buffer.peek(0, HEAD.size))
+                    self.skipping = 4 + length
+                    self._skip()
+                    events.append(self._turned_away(kind, stream, length))
                 break
             else:
                 _, kind, stream = HEAD.unpack(self.buffer.take(HEAD.size))
@@ -192,6 +200,22 @@
             self.buffer.skip(len(self.buffer))
         return events
 
+    def _skip(self) -> None:
+        size = min(self.skipping, len(self.buffer))
+        self.buffer.skip(size)
+        self.skipping -= size
+
+    def _turned_away(self, kind: int, stream: int, length: int) -> FrameEvent:
+        """No frame but a request may be so long; that is refused, which is harmless, on its head alone."""
+        if kind != REQUEST:
+            return self._break(f"a frame of type {kind} and length {length}")
+        return self._request(stream, None)
+
+    def give_up(self, reason: str) -> Broken:
+        """It does not go on: nothing more is taken from it."""
+        self.buffer.skip(len(self.buffer))
+        return self._break(reason)
+
     def answered(self, stream: int) -> None:
         """The stream has had its answer, or nobody waits for one."""
         self.open.discard(stream)
@@ -212,7 +236,8 @@
             return AskReady(stream)
         return self._break(f"a frame of type {kind}")
 
-    def _request(self, stream: int, payload: bytes) -> FrameEvent:
+    def _request(self, stream: int, payload: bytes | None) -> FrameEvent:
+        """Without a payload there is no room for it."""
         if stream == 0:
             return self._break("a request on stream 0")
         if stream in self.open or stream in self._used:
@@ -221,6 +246,8 @@
         self.open.add(stream)
         if crowded:
             return BadRequest(stream, f"over {OPEN_MOST} requests are open on this connection", True)
+        if payload is None:
+            return BadRequest(stream, "no room for it", True)
         try:
             fields, end = parse_fields(payload)
         except FieldError as e:
--- a/hollowhitch/protocol/lines.py
+++ b/hollowhitch/protocol/lines.py
@@ -10,7 +10,7 @@
 
 LINE_MOST, BODY_MOST = 4096, 65_536  # of one answer; more is no answer
 RESULT_MOST, PAGES_MOST = 48_000, 1_000
-REMEMBERED = 4_096  # ids that were used on this connection
+REMEMBERED = 512  # ids that were used on this connection
 
 ENDINGS = {"full": Outcome.FULL, "moot": Outcome.MOOT, "failed": Outcome.ERROR}
 
--- a/tests/test_frames.py
+++ b/tests/test_frames.py
@@ -67,6 +67,16 @@
     assert len(crowded) == 38 - frames.OPEN_MOST and all(e.crowded for e in crowded)
 
 
+@pytest.mark.parametrize("size", [20, 5000])
+def test_what_there_is_no_room_for_is_passed_over_and_the_next_frame_read(size):
+    protocol = frames.ClientProtocol()
+    raw = request(1, body=b"x" * 9000)
+    protocol.buffer.put(raw[:size])
+    events = protocol.received(0, lambda wanted: wanted != len(raw) - 4)
+    assert [(type(e), e.stream) for e in events] == [(frames.BadRequest, 1)] and events[0].crowded
+    assert protocol.feed(raw[size:] + request(2)) == [frames.Request(2, GOOD, b"select 1")]
+
+
 STEP = st.one_of(
     st.tuples(st.just("ask"), st.integers(1, 6), st.binary(max_size=9000)),
     st.tuples(st.just("gone"), st.integers(0, 6), st.just(b"")),
