Keep loads of a data set apart from what stands still behind them, across gateways

Now every gateway sends the loads of a data set to the same half of the engines, ranked by a hash of data set and engine id, each beginning with another one; queries that wait for loads draw their two candidates from the other half and fall back on the rest where none admits them.

--- a/hollowhitch/policy/control.py
+++ b/hollowhitch/policy/control.py
@@ -6,6 +6,7 @@
 from __future__ import annotations
 
 import math
+import zlib
 
 from hollowhitch.policy import interface as api
 from hollowhitch.policy.state import Attempt, ClassTable, EngineTable, Ledger, Query
@@ -30,6 +31,7 @@
 FULL_US, FEW_FULL_US, FRESH_US = 1_000_000, 4_000_000, 2_000_000  # belief: full; in whole slots; a report
 PROBE_US, ASK_WAIT_US = 500_000, 25_000  # age of a report that calls for a probe, at 0.01 each; wait for it
 WAITS_COST, CROSS_COST = 10.0, 10.0  # a load of ours there; a zone crossed, times its price
+PARTED, SETS_MOST = 3, 256  # engines from which on loads are kept apart; data sets whose parts are kept
 DRAWS, TRIES = 6, 12  # engines drawn to find two candidates; looked at where these do not take a query
 QUOTA_US, FEW_QUOTA_US = 1_000_000, 15_000_000  # slack of a tenant's quota; where our part is a few queries
 PATIENCE, FEW_PATIENCE = 0.5, 2.0  # of the time to spare that held work may take; where our part is small
@@ -48,6 +50,7 @@
     def __init__(self, settings: api.Settings, seed: int) -> None:
         super().__init__(settings, seed, SAMPLE, REBIN)
         self.classes = [ClassTable(c.aim_us * FIRST_WORK) for c in settings.classes]
+        self.apart: dict[tuple[int, int], list[EngineTable]] = {}  # by class and data set
 
     def handle(self, now_us: int, event: api.Event) -> list[api.Action]:
         # Danger: we stood still, and find at once what came meanwhile. No latency is read for a round.
@@ -199,17 +202,37 @@
     def _place(self, q: Query, only: EngineTable | None = None) -> bool:
         if not self.may_attempt(q) or not self._pool_fits(q):
             return False
-        pool = self.open_for[q.ci] if only is None else [only] if only in self.open_for[q.ci] else []
-        two = [e for e in (q.two if only is None else pool) if e in pool and self._may_use(e, q)]
-        others = pool if len(pool) <= TRIES else self.rng.sample(pool, TRIES)
-        for some in (two, others):
-            fit = [e for e in some if (some is two or self._may_use(e, q)) and self._admits(e, q)]
+        pool, apart = self.open_for[q.ci], self._apart(q)
+        if only is not None:
+            pool = apart = [only] if only in apart else []
+        for some in (q.two if only is None else (), apart, pool):
+            if len(some) > TRIES:
+                some = self.rng.sample(some, TRIES)
+            fit = [e for e in some if e in pool and self._may_use(e, q) and self._admits(e, q)]
             if fit:
                 return self._send(q, min(fit, key=lambda e: self._score(e, q)))
         return False
 
-    def _draw(self, q: Query) -> list[EngineTable]:
+    def _apart(self, q: Query) -> list[EngineTable]:
+        """Departure: what stands still behind a load is late, and other gateways' loads are not told. So all
+        send the loads of a data set to the same half of the engines, and what waits for loads to the rest."""
         pool = self.open_for[q.ci]
+        if len(pool) < PARTED or not (q.cls.is_load or q.cls.waits_for_loads):
+            return pool
+        if (q.ci, q.data_set) not in self.apart:
+            if len(self.apart) >= SETS_MOST:
+                self.apart.clear()
+            ranked = sorted(pool, key=lambda e: zlib.crc32(f"{q.data_set} {e.info.id}".encode()))
+            half = len(pool) // 2
+            first = self.s.gateway % half  # each begins with another, so that their loads seldom meet
+            homes = ranked[first:half] + ranked[:first]
+            self.apart[q.ci, q.data_set] = homes if q.cls.is_load else ranked[half:]
+        return self.apart[q.ci, q.data_set]
+
+    def _draw(self, q: Query) -> list[EngineTable]:
+        pool = self._apart(q)
+        if q.cls.is_load:
+            return [e for e in pool if self._may_use(e, q)][:2]
         some = [e for e in self.rng.sample(pool, min(DRAWS, len(pool))) if self._may_use(e, q)]
         return some[:2] if len(some) > 1 else [e for e in pool if self._may_use(e, q)][:2]
 
@@ -443,6 +466,7 @@
         if self.s.asks_for_list and (first or ev.kind is api.ListKind.FAILED):
             self.agenda.add(self.now + (0 if first else ASK_US), self.act, api.Subscribe())
         self.relist(ev)
+        self.apart.clear()
         self._judge_pool()
         self.pump()
 
--- a/tests/test_mechanism.py
+++ b/tests/test_mechanism.py
@@ -2,7 +2,11 @@
 
 from __future__ import annotations
 
+import dataclasses
+
 import pytest
+from hypothesis import given
+from hypothesis import strategies as st
 
 from hollowhitch.policy import interface as api
 from hollowhitch.policy.state import parted
@@ -337,3 +341,21 @@
 def test_an_index_past_the_told_count_is_served():
     g = Gateway(engine("e1"), given=settings(gateway=9, gateways=3))
     assert of(api.Send, g.ask())
+
+
+@given(st.integers(3, 9), st.integers(0, 50))
+def test_all_gateways_keep_the_loads_of_a_data_set_from_what_waits_for_them(engines, data_set):
+    """What stands still behind a load is late, and a gateway is not told of the others' loads."""
+    fleet = [engine(f"e{n}") for n in range(engines)]
+    told = settings(query_class("load", is_load=True, threads=2), query_class("look", waits_for_loads=True))
+    where: dict[str, set[str]] = {"load": set(), "look": set()}
+    for gateway in range(3):
+        g = Gateway(*fleet, given=dataclasses.replace(told, gateway=gateway, gateways=3), seed=gateway)
+        for n in range(6):
+            for name in where:
+                acts = g.ask(f"{name}{n}", class_name=name, data_set=data_set, cost_us=50_000)
+                where[name] |= {a.engine for a in of(api.Send, acts)}
+                g.end(f"{name}{n}", api.Outcome.OK)
+    assert where["load"] and where["look"] and not where["load"] & where["look"]
+    both = Gateway(engine("e0"), engine("e1"), given=told)  # too few to part
+    assert of(api.Send, both.ask(class_name="look", data_set=data_set))
