Refuse impossible figures, unknown tenants and open ids; leave a connection once spoilt

After spoilt bytes the answers that had been read whole before them were dropped with them (EngineProtocol.received raised), a page that was spoilt in itself ended one exchange only though nothing more comes on its connection, a second copy of a page ended a good result, and a result could grow to 1,000 pages of 64 KB before it was measured.

--- a/hollowhitch/gateway.py
+++ b/hollowhitch/gateway.py
@@ -105,7 +105,6 @@
     ) -> None:
         self.settings, self.backend, self.clock = settings, backend, clock
         self.controller = Controller(settings, seed)
-        self.classes = {c.name: c for c in settings.classes}
         self.queries: dict[str, Query] = {}  # until answered and without an attempt out
         self.unanswered = 0
         self._call_later = call_later
--- a/hollowhitch/net/clients.py
+++ b/hollowhitch/net/clients.py
@@ -189,13 +189,17 @@
             return
         try:
             group = table_group(event.body.decode("utf-8", "replace"))
-            ref, arrived, replay = frames.read_query(event, front.gateway.classes, group)
+            ref, arrived, replay = frames.read_query(event, front.terms, group)
         except frames.FieldError as e:
             self._bad(event.stream, str(e))
             return
+        if ref in front.refs:  # each request has a new one; engines know only one statement by it
+            self._bad(event.stream, "ref is that of an open request")
+            return
         stream = event.stream
         query = Query(ref, arrived, replay, event.body, lambda answer: self._answer(stream, answer))
         self.queries[stream] = query
+        front.refs.add(ref)
         front.held += len(event.body)
         front.gateway.take(query, at_us)
 
@@ -229,6 +233,7 @@
         query = self.queries.pop(stream, None)
         if query is not None:
             self.front.held -= len(query.statement)
+            self.front.refs.discard(query.ref)
         return query
 
     def _end_if_done(self) -> None:
@@ -248,6 +253,8 @@
     def __init__(self, config: Config, gateway: Gateway) -> None:
         self.config, self.gateway = config, gateway
         self.arrivals = Arrivals()
+        self.terms = frames.Terms(config.settings)
+        self.refs: set[str] = set()  # of the requests that are open
         self.connections: set[ClientConnection] = set()
         self.held = 0  # bytes of the statements that are open
         self.closing = self.closed = False  # asked to end; takes nothing new
--- a/hollowhitch/net/engines.py
+++ b/hollowhitch/net/engines.py
@@ -16,7 +16,7 @@
 from hollowhitch.net.dial import dial
 from hollowhitch.net.outbox import Outbox
 from hollowhitch.policy.interface import EngineList, EngineState, ListKind, LoadReport, Outcome, ProbeEnded
-from hollowhitch.protocol.lines import EngineProtocol, LineError
+from hollowhitch.protocol.lines import EngineProtocol
 
 OUTBOX_MOST = 1 << 20  # bytes that wait on one connection before another is used
 IDLE_SHARE = 0.7  # of the engine's idle time: closing first keeps a request from crossing its close
@@ -106,11 +106,11 @@
                 if protocol.output:
                     self.outbox.put(bytes(protocol.output))
                     protocol.output.clear()
+                if protocol.spoilt:
+                    say("engine", f"{self.pool.id} does not follow the protocol: {protocol.spoilt}")
+                    return self.close("")
         except OSError as e:
             self.close(f"read: {e}")
-        except LineError as e:
-            say("engine", f"{self.pool.id} does not follow the protocol: {e}")
-            self.close("")
         except Exception as e:  # a fault of ours: its attempts must end all the same
             say("fault", f"reading from {self.pool.id}: {type(e).__name__}: {e}")
             self.close("fault")
--- a/hollowhitch/protocol/frames.py
+++ b/hollowhitch/protocol/frames.py
@@ -9,7 +9,7 @@
 from collections.abc import Callable, Mapping
 from dataclasses import dataclass
 
-from hollowhitch.policy.interface import Effect, QueryArrived, QueryClass
+from hollowhitch.policy.interface import Effect, QueryArrived, QueryClass, Settings
 from hollowhitch.protocol.buffer import ReceiveBuffer
 
 LENGTH_LEAST, LENGTH_MOST = 5, 262_144
@@ -21,7 +21,7 @@
 
 WORD = re.compile(r"[0-9A-Za-z_.:-]{1,128}")  # what may be passed on as a word of an engine's line
 REF = re.compile(r"[0-9A-Fa-f]{16}")
-ALLOW_MOST_MS = 3_600_000
+ALLOW_MOST, EFFORT_MOST = 2.0, 20.0  # times the class's deadline; the work, times its threads as well
 
 HEAD = struct.Struct(">IBI")
 
@@ -96,7 +96,7 @@
         raise FieldError("a field is not text") from None
 
 
-def _amount(fields: Mapping[str, str], name: str, default: float | None = None) -> float:
+def _amount(fields: Mapping[str, str], name: str, most: float, default: float | None = None) -> float:
     text = fields.get(name)
     if text is None and default is not None:
         return default
@@ -104,8 +104,8 @@
         value = float(text or "")
     except ValueError:
         value = math.nan
-    if not 0 <= value < math.inf:
-        raise FieldError(f"{name} is not a number from 0 up")
+    if not 0 <= value <= most or value == math.inf:
+        raise FieldError(f"{name} is not a number from 0 to {most:g}")
     return value
 
 
@@ -116,15 +116,31 @@
     return text
 
 
-def read_query(
-    request: Request, classes: Mapping[str, QueryClass], data_set: int
-) -> tuple[str, QueryArrived, str | None]:
+class Terms:
+    """What a request may say, by the settings. Guards the module's averages: one estimate that no engine
+    could ever meet would stay in them for long, and engines only answer such requests with an error."""
+
+    def __init__(self, settings: Settings) -> None:
+        self.classes = {c.name: c for c in settings.classes}
+        self.tenants = {t.name for t in settings.tenants}
+        sizes = [kind.memory_mb for kind in settings.kinds]
+        self.memory_most_mb = max((size or math.inf for size in sizes), default=math.inf)
+
+    def query_class(self, fields: Mapping[str, str]) -> QueryClass:
+        cls = self.classes.get(fields.get("service", ""))
+        if cls is None:
+            raise FieldError(f"service {fields.get('service', '')[:40]!r} is unknown")
+        if self.tenants and fields.get("project") not in self.tenants:
+            raise FieldError(f"project {fields.get('project', '')[:40]!r} is unknown")
+        return cls
+
+
+def read_query(request: Request, terms: Terms, data_set: int) -> tuple[str, QueryArrived, str | None]:
     """The engines' id, the query as the module is told of it, and the idempotency key."""
     fields = request.fields
     ref = _word(fields, "ref", REF)
-    cls = classes.get(fields.get("service", ""))
-    if cls is None:
-        raise FieldError(f"service {fields.get('service', '')[:40]!r} is unknown")
+    cls = terms.query_class(fields)
+    deadline_ms = cls.deadline_us / 1000
     keyed = cls.effect is Effect.KEYED  # without its key a repeat would run twice
     replay = _word(fields, "replay", WORD) if keyed or "replay" in fields else None
     key = fields.get("lookup") or None
@@ -133,9 +149,9 @@
         class_name=cls.name,
         tenant=fields.get("project") or None,
         key=int.from_bytes(hashlib.blake2b(key.encode(), digest_size=6).digest(), "big") if key else None,
-        expires_in_us=int(min(_amount(fields, "allow"), ALLOW_MOST_MS) * 1000),
-        cost_us=int(min(_amount(fields, "effort", 0.0), ALLOW_MOST_MS) * 1000),
-        memory_mb=min(_amount(fields, "need_mb", 0.0), 1e9),
+        expires_in_us=int(_amount(fields, "allow", deadline_ms * ALLOW_MOST) * 1000),
+        cost_us=int(_amount(fields, "effort", deadline_ms * cls.threads * EFFORT_MOST, 0.0) * 1000),
+        memory_mb=_amount(fields, "need_mb", terms.memory_most_mb, 0.0),
         data_set=data_set,
         is_retry=fields.get("dup") == "1",
     )
--- a/hollowhitch/protocol/lines.py
+++ b/hollowhitch/protocol/lines.py
@@ -8,7 +8,7 @@
 from hollowhitch.protocol.buffer import ReceiveBuffer
 from hollowhitch.settings import parse_report
 
-LINE_MOST, BODY_MOST = 4096, 65_536  # of one answer; more is no answer
+LINE_MOST, PAGE_MOST = 4096, 6_000  # of one answer; more is no answer
 RESULT_MOST, PAGES_MOST = 48_000, 1_000
 REMEMBERED = 512  # ids that were used on this connection
 
@@ -33,11 +33,11 @@
 class Exchange:
     """What has come of one request's result."""
 
-    __slots__ = ("pages", "missing", "report")
+    __slots__ = ("pages", "missing", "size", "report")
 
     def __init__(self) -> None:
         self.pages: list[bytes | None] = []
-        self.missing = 0
+        self.missing = self.size = 0
         self.report: LoadReport | None = None
 
 
@@ -49,8 +49,14 @@
 
 
 def whole_rows(page: bytes) -> bool:
-    """Does a page hold whole rows of three columns?"""
-    return not page or (page.endswith(b"\n") and all(r.count(b"\t") == 2 for r in page[:-1].split(b"\n")))
+    """Does a page hold whole rows of three columns, as text?"""
+    if not page:
+        return True
+    try:
+        page.decode()
+    except UnicodeDecodeError:
+        return False
+    return page.endswith(b"\n") and all(r.count(b"\t") == 2 for r in page[:-1].split(b"\n"))
 
 
 class EngineProtocol:
@@ -64,6 +70,7 @@
         self._reports = reports
         self._head: tuple[str, str, dict[str, str], int] | None = None
         self._looked = 0  # bytes of the buffer in which no line end was found
+        self.spoilt = ""  # why nothing more can be read here, of this answer or of any after it
 
     def may_carry(self, ref: str) -> bool:
         """Guards against a late answer to an old attempt that would pass for the new one's: an id goes over a
@@ -91,15 +98,24 @@
         return self.received(0)
 
     def received(self, count: int) -> list[Finished]:
-        """So many bytes were put in the buffer's room: the exchanges they end."""
+        """So many bytes were put in the buffer's room: the exchanges they end. What was whole before spoilt
+        bytes still counts."""
         self.buffer.filled(count)
         done: list[Finished] = []
-        while (answer := self._answer()) is not None:
-            end = self._take(*answer)
-            if end is not None:
-                done.append(end)
+        try:
+            while not self.spoilt and (answer := self._answer()) is not None:
+                end = self._take(*answer)
+                if end is not None:
+                    done.append(end)
+        except LineError as e:
+            self.spoilt = str(e)
         return done
 
+    @property
+    def amid(self) -> bool:
+        """Has an answer begun that is not whole?"""
+        return self._head is not None or len(self.buffer) > 0
+
     def _forget(self, ref: str) -> Exchange | None:
         exchange = self.open.pop(ref, None)
         if exchange is not None:
@@ -130,7 +146,7 @@
     def _parse(self, line: bytes) -> tuple[str, str, dict[str, str], int]:
         try:
             ref, word, fields, length = line.decode("ascii").split(" ")
-            if not length.isdigit() or int(length) > BODY_MOST:
+            if not length.isdigit() or int(length) > PAGE_MOST:
                 raise LineError(f"an answer of length {length[:20]!r}")
             return ref, word, parse_answer_fields(fields), int(length)
         except (UnicodeDecodeError, ValueError) as e:
@@ -149,34 +165,41 @@
                 return self._first_page(ref, exchange, int(fields.get("fetches") or 1), body)
             if word == "page" and exchange.pages:
                 return self._page(ref, exchange, int(fields["fetch_no"]), body)
+        except LineError:
+            raise
         except (ValueError, KeyError) as e:
-            return self._end(ref, Outcome.ERROR, f"{word} with unusable fields: {e!r}")
-        outcome = ENDINGS.get(word, Outcome.ERROR)
+            raise LineError(f"{word} with unusable fields: {e!r}") from None
+        if word == "data":  # a second copy of what we have
+            return None
+        if word not in ENDINGS:
+            raise LineError(f"unknown answer {word[:20]!r}")
         if exchange.pages:  # it has run, whatever is said of a page
             return self._end(ref, Outcome.ERROR, f"{word} for a page")
-        return self._end(ref, outcome, "" if word in ENDINGS else f"unknown answer {word[:20]!r}")
+        return self._end(ref, ENDINGS[word])
 
     def _first_page(self, ref: str, exchange: Exchange, pages: int, body: bytes) -> Finished | None:
         if not 1 <= pages <= PAGES_MOST:
-            return self._end(ref, Outcome.ERROR, f"a result of {pages} pages")
+            raise LineError(f"a result of {pages} pages")
         exchange.pages, exchange.missing = [None] * pages, pages
         for number in range(1, pages):
             self.output += b"FETCH %s %d\r\n" % (ref.encode(), number)
         return self._page(ref, exchange, 0, body)
 
     def _page(self, ref: str, exchange: Exchange, number: int, body: bytes) -> Finished | None:
-        if not 0 <= number < len(exchange.pages) or exchange.pages[number] is not None:
-            return self._end(ref, Outcome.ERROR, f"page {number} was not wanted")
+        if not 0 <= number < len(exchange.pages):
+            raise LineError(f"page {number} of {len(exchange.pages)}")
+        if exchange.pages[number] is not None:  # a second copy
+            return None
+        exchange.size += len(body)
+        if exchange.size > RESULT_MOST:
+            raise LineError(f"a result of over {RESULT_MOST} bytes")
         if not whole_rows(body):
-            return self._end(ref, Outcome.ERROR, f"page {number} does not hold whole rows")
+            raise LineError(f"page {number} does not hold whole rows")
         exchange.pages[number] = body
         exchange.missing -= 1
         if exchange.missing:
             return None
-        result = b"".join(p for p in exchange.pages if p is not None)
-        if len(result) > RESULT_MOST:
-            return self._end(ref, Outcome.ERROR, f"a result of {len(result)} bytes")
-        return self._end(ref, Outcome.OK, body=result)
+        return self._end(ref, Outcome.OK, body=b"".join(p for p in exchange.pages if p is not None))
 
     def _end(self, ref: str, outcome: Outcome, reason: str = "", body: bytes = b"") -> Finished:
         exchange = self._forget(ref)
