Send stuck attempts elsewhere; judge engines against the others and by the query's fate

Now an error or break-off counts once the query fares well elsewhere, and an engine is left out at 0.3 plus twice the others' mean; one outcome counts as four times its best at most; a safe attempt past three times its expected time is called off if another engine would take it and it can still make its time.

--- a/hollowhitch/policy/control.py
+++ b/hollowhitch/policy/control.py
@@ -27,6 +27,7 @@
 TENSE, TENSE_STRETCH = 0.25, math.log(2.0)  # share of reports under pressure, latency over best: all are full
 CROWD, CALM_CROWD = 1.3, 3.0  # own slots over the limit that foretell latency far above best
 STRETCH, SLACK = math.log(3.0), 0.1  # so is latency over best (log); share of the aim in any best
+STRETCH_MOST = math.log(4.0)  # of one outcome: a few that stood still behind a load are no crowd
 STRETCH_STEP, STRETCH_FADE = 0.15, 0.98  # weight of an outcome; fade per sweep back to average
 FULL_US, FEW_FULL_US, FRESH_US = 1_000_000, 4_000_000, 2_000_000  # belief: full; in whole slots; a report
 PROBE_US, ASK_WAIT_US = 500_000, 25_000  # age of a report that calls for a probe, at 0.01 each; wait for it
@@ -39,7 +40,9 @@
 SILENT_US, OVERDUE = 1_000_000, 4.0  # silent: says nothing so long with work this far past its time
 STALL_US, COLD_SAFETY = 300_000, 0.6  # a timer of ours this late: we stood still; of a cold engine's budget
 ERROR_SHARE, ERROR_STEP, ILL_MOST = 0.3, 0.15, 0.5  # failures that eject; weight of one; ill: a shared cause
+ERROR_TIMES = 2.0  # of the others' mean, which comes on top
 EJECT_US, EJECT_MOST_US = 2_000_000, 8_000_000  # rest before a trial; doubles while trials fail
+STUCK, STUCK_AIM = 3.0, 0.1  # times its expected time, and share of the aim, after which an attempt is stuck
 BAD_PLAN, BAD_PLAN_US = 4.0, 1_000_000  # time left, in fresh attempts and beyond, that is called off
 TICKS_AHEAD, ASK_US = 2.2, 500_000  # batches before its client gives up; before asking for a list again
 
@@ -102,7 +105,7 @@
             known.mem_ratio += STEP * (math.log(ev.memory_mb / memory) - known.mem_ratio)
         known.short = max(0.0, known.short - FIT_STEP)
         known.usual_us += STEP * (ev.elapsed_us - known.usual_us)
-        over = q.over_best(ev.elapsed_us, SLACK)
+        over = min(q.over_best(ev.elapsed_us, SLACK), STRETCH_MOST)
         if self.whole and (r := self._report(e)) and r.busiest < CALM:
             self.best += STEP * (over - self.best)  # spills, cold reads and locks are no crowd
         e.stretch += STRETCH_STEP * (over - self.best - e.stretch)
@@ -238,7 +241,7 @@
 
     def _send(self, q: Query, e: EngineTable) -> bool:
         charges = self._charge(q, e.limit, e.big), self._pool_charge(q)[1]
-        a = self.book(q, Attempt(len(q.attempts), e, self.now, *charges, q.work))
+        a = self.book(q, Attempt(q, len(q.attempts), e, self.now, *charges, q.work))
         self._wake(e)
         timeout = 0
         if e.ejected_until:  # a trial, ended in good time where it cannot be called off
@@ -250,6 +253,8 @@
             q.priority = priority
             self.acts.append(api.SetTerms(q.id, grant, priority if self.s.priorities else 1))
         self.acts.append(api.Send(q.id, e.info.id, timeout))
+        if q.cls.effect is Effect.SAFE:
+            self.agenda.add(self.now + self._patience_us(q, e), self._stuck, a)
         return True
 
     # ---- hold: the oldest fitting query leaves first; one that cannot make its time is refused early
@@ -360,8 +365,10 @@
         self.all_ill = sum(e.ejected_until > 0 for e in self.engines.values()) > ILL_MOST * len(self.engines)
 
     def _bad_news(self, e: EngineTable) -> None:
+        """Danger: answers that get lost or spoilt under way, which shows at all engines alike."""
         e.failing += ERROR_STEP * (1 - e.failing)
-        if e.failing > ERROR_SHARE:
+        others = [o.failing for o in self.engines.values() if o is not e]
+        if e.failing > ERROR_SHARE + ERROR_TIMES * sum(others) / max(len(others), 1):
             self._eject(e)
 
     def _overdue_us(self, q: Query) -> float:
@@ -377,7 +384,7 @@
         if not e.out or self.now < self.steady_at:
             return
         (_, n), q = list(e.out.items())[len(e.out) // 2]  # what is out and old tells before outcomes do
-        late = q.over_best(self.now - q.attempts[n].sent, SLACK) - self.best
+        late = min(q.over_best(self.now - q.attempts[n].sent, SLACK), STRETCH_MOST) - self.best
         e.stretch += STRETCH_STEP * max(late - e.stretch, 0)
         if not self.s.limits.probes:  # reports come with answers only: work out long is the first sign
             self.stretch += STRETCH_STEP * max(late - self.stretch, 0) / len(self.awake)
@@ -388,6 +395,25 @@
         for (_, n), q in () if self.all_ill else list(e.out.items()):
             self._call_off(q, n)
 
+    def _patience_us(self, q: Query, e: EngineTable) -> float:
+        slow = math.exp(max(e.stretch, 0.0))
+        return STUCK * q.work / q.cls.threads * slow + STUCK_AIM * q.cls.aim_us
+
+    def _stuck(self, a: Attempt) -> None:
+        """Danger: a bad plan, a load's lock, a lost answer. Catches any attempt far past its time while
+        another engine would take it; hurts if estimates lie low."""
+        q = a.query
+        if q.done or not a.open or a.called_off or self.now < self.steady_at:
+            return
+        wait = a.sent + self._patience_us(q, a.engine) - self.now
+        fresh = self.now + q.work / q.cls.threads * math.exp(max(self.stretch, 0.0))
+        if wait > STUCK_AIM * q.cls.aim_us:  # its engine has slowed down since
+            return self.agenda.add(self.now + wait, self._stuck, a)
+        ends = q.expires if self.now > q.aim and q.cls.late_share else q.aim
+        others = [e for e in self._apart(q) if e is not a.engine and self._may_use(e, q)]
+        if fresh < ends and any(self._admits(e, q) for e in others):
+            self._call_off(q, a.n)
+
     def _call_off(self, q: Query, n: int) -> None:
         may = not q.done and q.cls.effect is Effect.SAFE and self.budget_left()
         if may and len(q.attempts) < self.s.limits.max_attempts:
@@ -424,6 +450,8 @@
         if o is Outcome.OK:
             e.release(a)
             e.failing -= ERROR_STEP * e.failing
+            for other in q.blamed:
+                self._bad_news(other)
             self.served += a.work
             if self.now >= self.steady_at:
                 self._learn(q, ev, e)
@@ -436,8 +464,10 @@
         if o is Outcome.FULL:
             e.full_at = self.now
             self.tense += STEP * (1 - self.tense)
-        elif o in (Outcome.ERROR, Outcome.RESET, Outcome.CONNECT_FAILED):
+        elif o is Outcome.CONNECT_FAILED:
             self._bad_news(e)
+        elif o in (Outcome.ERROR, Outcome.RESET) and e not in q.blamed:
+            q.blamed.append(e)  # it may be the query's own fault: told by how it fares elsewhere
         if e.trial is a:
             self._eject(e)
 
--- a/hollowhitch/policy/state.py
+++ b/hollowhitch/policy/state.py
@@ -21,12 +21,13 @@
 class Attempt:
     """One send of a query to an engine."""
 
-    __slots__ = ("n", "engine", "sent", "charge", "work", "open", "called_off", "pool_charge")
+    __slots__ = ("query", "n", "engine", "sent", "charge", "work", "open", "called_off", "pool_charge")
 
     def __init__(
-        self, n: int, engine: EngineTable, sent: int, charge: float, pool_charge: float, work: float
+        self, query: Query, n: int, engine: EngineTable, sent: int, charge: float, pool_charge: float,
+        work: float,
     ) -> None:
-        self.n, self.engine, self.sent, self.work = n, engine, sent, work
+        self.query, self.n, self.engine, self.sent, self.work = query, n, engine, sent, work
         self.charge, self.pool_charge = charge, pool_charge  # at the engine; over all engines
         self.open, self.called_off = True, False
 
@@ -36,7 +37,7 @@
 
     __slots__ = ("id", "ci", "cls", "key", "taken", "expires", "aim", "answer_by", "told", "work", "mem",
                  "bins", "data_set", "over", "attempts", "ran", "done", "held", "streaming", "grant",
-                 "weight", "priority", "two", "asked")
+                 "weight", "priority", "two", "asked", "blamed")
 
     def __init__(self, ev: api.QueryArrived, ci: int, cls: api.QueryClass, now: int) -> None:
         self.id, self.ci, self.cls = ev.id, ci, cls
@@ -49,6 +50,7 @@
         self.over = self.done = self.held = self.streaming = False
         self.grant, self.weight, self.priority = 0.0, 0.0, -1  # weight: in the cold budget
         self.two: list[EngineTable] = []  # the two candidates
+        self.blamed: list[EngineTable] = []  # that gave an error or broke off
         self.asked = 0  # probes that its first send waits for
 
     def out(self) -> list[Attempt]:
--- a/tests/test_mechanism.py
+++ b/tests/test_mechanism.py
@@ -12,7 +12,7 @@
 from hollowhitch.policy.state import parted
 from tests.conftest import Gateway, S, engine, of, query_class, report, settings
 
-Outcome = api.Outcome
+Effect, Outcome = api.Effect, api.Outcome
 
 
 def press(g: Gateway, *names: str, util: float = 1.0) -> None:
@@ -359,3 +359,55 @@
     assert where["load"] and where["look"] and not where["load"] & where["look"]
     both = Gateway(engine("e0"), engine("e1"), given=told)  # too few to part
     assert of(api.Send, both.ask(class_name="look", data_set=data_set))
+
+
+@pytest.mark.parametrize("effect,again", [(Effect.SAFE, 1), (Effect.KEYED, 0)])
+def test_an_attempt_far_past_its_time_is_called_off_and_sent_elsewhere(effect, again):
+    """Guards against bad plans, locks of loads that nobody told us of, and answers that never come."""
+    g = Gateway(engine("e1"), engine("e2"), given=settings(query_class(effect=effect)))
+    (sent,) = of(api.Send, g.ask("a", cost_us=100_000))
+    assert not of(api.CancelAttempt, g.run(S // 4))
+    assert len(of(api.CancelAttempt, g.run(S // 4))) == again
+    if again:
+        (other,) = of(api.Send, g.end("a", Outcome.CANCELLED))
+        assert other.engine != sent.engine
+
+
+def test_errors_that_follow_the_query_are_not_the_engines_fault():
+    """Guards against bad requests, which each engine answers with an error."""
+    g = Gateway(engine("e1"), engine("e2"), engine("e3"))
+    for n in range(30):
+        attempt, sent = 0, of(api.Send, g.ask(f"bad{n}", data_set=n))
+        while sent:
+            sent, attempt = of(api.Send, g.end(f"bad{n}", Outcome.ERROR, attempt)), attempt + 1
+        assert attempt > 1
+        g.run(5 * S)
+    assert not any(e.failing or e.ejected_until for e in g.c.engines.values())
+
+
+@pytest.mark.parametrize("sick,out", [({"e1"}, {"e1"}), ({"e1", "e2", "e3", "e4"}, set())])
+def test_an_engine_is_left_out_for_failing_more_than_the_others_do(sick, out):
+    """Guards against answers that get lost under way: that is no proof against an engine if all show it."""
+    g, seen = Gateway(*(engine(f"e{n}") for n in range(1, 5))), {}
+    for n in range(200):
+        (sent,) = of(api.Send, g.ask(f"r{n}", data_set=n))
+        seen[sent.engine] = seen.get(sent.engine, 0) + 1
+        broken = sent.engine in sick and seen[sent.engine] % 3 < 2 - (len(sick) > 1)
+        if broken:
+            g.end(f"r{n}", Outcome.RESET)
+        g.end(f"r{n}", Outcome.OK, int(broken))
+        g.now += 100_000
+        if len(sick) > 1:
+            assert not any(e.ejected_until for e in g.c.engines.values())
+        elif any(e.ejected_until for e in g.c.engines.values()):
+            break
+    assert {i for i, e in g.c.engines.items() if e.ejected_until} == out
+
+
+def test_a_few_locked_queries_do_not_look_like_a_crowd():
+    g = Gateway(engine("e1"))
+    for n in range(12):
+        g.ask(f"r{n}", cost_us=50_000)
+        g.now += 10_000
+        g.end(f"r{n}", Outcome.OK, elapsed_us=5 * S if n in (3, 4, 5) else 50_000)
+        assert not g.c._pressure(g.c.engines["e1"])
