Spread attempts over connections, leave stalled ones, keep what broke one apart

Now the least shared carries, another is dialed from 4 attempts on, an answer that rests for 0.5 s or a silent connection with an attempt far past its work is closed, one on which an attempt was given up in silence is used last, and a query on which a connection broke gets one for itself.

--- a/hollowhitch/config.py
+++ b/hollowhitch/config.py
@@ -115,7 +115,7 @@
         streams_per_connection=_count(bounds, "streamsPerConn"),
         open_most=min(_count(bounds, "maxOpen"), held // QUERY_BYTES),
         clients_most=sockets - for_engines - min(SPARE_SOCKETS, sockets // 4),
-        engine_sockets_most=max(2, for_engines // ENGINES_MOST),
+        engine_sockets_most=max(2, for_engines // ENGINES_MOST),  # and two more for a while
         held_most=held,
     )
 
--- a/hollowhitch/gateway.py
+++ b/hollowhitch/gateway.py
@@ -63,6 +63,13 @@
     attempts: list[Attempt] = field(default_factory=list)
     grant_mb: float = 0.0
     watchdog: Timer | None = None
+    broke: bool = False  # a connection has broken with it; it may be why
+
+
+    @property
+    def expected_us(self) -> int:
+        """Its told work: what a run may take where it has little else beside it."""
+        return self.arrived.cost_us
 
 
 @dataclass(slots=True, eq=False)
--- a/hollowhitch/net/engines.py
+++ b/hollowhitch/net/engines.py
@@ -21,6 +21,10 @@
 OUTBOX_MOST = 1 << 20  # bytes that wait on one connection before another is used
 IDLE_SHARE = 0.7  # of the engine's idle time: closing first keeps a request from crossing its close
 SWEEPS = 10  # in that time
+SHARED = 3  # attempts on a connection from which on another is dialed: what spoils one takes all on it along
+ALONE_MORE = 2  # connections to an engine over the usual number, for queries on which one has broken
+CARE_US = 100_000  # between looks for connections that have stopped
+AMID_US, SILENT_US, OVERDUE = 500_000, 1_000_000, 4  # an answer that stops short; silent; times the estimate
 TOLD_S = 0.004  # a STOP is on its way this long before a further attempt may leave
 
 
@@ -32,19 +36,22 @@
         self.attempts: dict[str, Attempt] = {}  # by ref: those written or about to be
         self.written: set[str] = set()
         self.probes: dict[str, int] = {}  # tag: when it was sent
-        self.used_us = self.opened_us = pool.owner.clock.now_us()
+        self.used_us = self.opened_us = self.heard_us = pool.owner.clock.now_us()
         self.closed = self.retired = False  # retired: carries nothing new
+        self.alone = False  # carries one attempt of a query on which a connection has broken, and no other
+        self.suspect = False  # an attempt was given up, and nothing has come since it was written
         gevent.spawn(self._write)
         gevent.spawn(self._read)
 
     def may_carry(self, attempt: Attempt) -> bool:
         ref = attempt.query.ref
         room = len(self.attempts) < self.pool.owner.config.streams_per_connection and not self.outbox.full
-        usable = room and not self.closed and not self.retired
+        usable = room and not self.closed and not self.retired and not self.alone
         return usable and ref not in self.attempts and self.protocol.may_carry(ref)
 
     def send(self, attempt: Attempt) -> None:
         self.attempts[attempt.query.ref] = attempt
+        self.alone = attempt.query.broke
         attempt.carrier = self
         size = len(attempt.query.statement) + 200
         self.outbox.put(lambda: self._request(attempt), size)
@@ -74,10 +81,12 @@
         if self.attempts.get(ref) is not attempt:
             return None
         del self.attempts[ref]
+        self.alone = False
         self.used_us = self.pool.owner.clock.now_us()
         if ref not in self.written:
             return None
         self.written.discard(ref)
+        self.suspect = self.heard_us < attempt.sent_us
         self.outbox.put(self.protocol.give_up(ref))  # nothing, once closed: then the close has told it
         return TOLD_S
 
@@ -98,7 +107,8 @@
                 with protocol.buffer.room() as room:
                     count = self.sock.recv_into(room)
                 if count == 0:
-                    return self.close("")
+                    return self.close("ended by the engine")
+                self.heard_us, self.suspect = self.pool.owner.clock.now_us(), False
                 for end in protocol.received(count):
                     if end.reason:
                         say("engine", f"{self.pool.id}: {end.reason}")
@@ -124,9 +134,20 @@
             return
         attempt = self.attempts.pop(ref, None)
         self.written.discard(ref)
+        self.alone = False
         if attempt is not None:
             owner.gateway.ended(attempt, outcome, report, body)
 
+    def look_after(self, now: int) -> None:
+        """Guards what is on it against an answer that stops short or never comes: nothing follows it here."""
+        quiet = now - self.heard_us
+        if self.protocol.amid and quiet > AMID_US:
+            self.close("an answer stopped short")
+        elif self.written and quiet > SILENT_US:
+            out = [a for ref, a in self.attempts.items() if ref in self.written]
+            if any(now - a.sent_us > SILENT_US + OVERDUE * a.query.expected_us for a in out):
+                self.close("nothing comes any more")
+
     def close(self, why: str) -> None:
         """What was written may have run; what was not never did."""
         if self.closed:
@@ -142,6 +163,7 @@
             self.pool.connections.remove(self)
         gateway = self.pool.owner.gateway
         for ref, attempt in list(self.attempts.items()):
+            attempt.query.broke = attempt.query.broke or ref in self.written
             if ref in self.written:  # guards the rule of one attempt at a time, where it is we who close
                 lost = functools.partial(self._finished, ref, Outcome.RESET, None, b"")
                 self.pool.owner.call_later(TOLD_S, lost)
@@ -164,15 +186,20 @@
         self.dialing = False
 
     def start(self, attempt: Attempt) -> None:
-        for connection in self.connections:
-            if connection.may_carry(attempt):
-                connection.send(attempt)
-                return
-        if len(self.connections) >= self.owner.config.engine_sockets_most:
+        """On the one that is shared least. A query on which a connection has broken gets one for itself, if there
+        may be another: else it could take others down with it again and again."""
+        broke, fit = attempt.query.broke, [c for c in self.connections if c.may_carry(attempt)]
+        full = len(self.connections) >= self.owner.config.engine_sockets_most + (ALONE_MORE if broke else 0)
+        if broke and not full:
+            fit = [c for c in fit if not c.attempts]
+        best = min(fit, key=lambda c: (c.suspect, len(c.attempts)), default=None)
+        if best is not None:
+            best.send(attempt)
+        elif full:
             self.owner.gateway.ended(attempt, Outcome.CONNECT_FAILED)
-            return
-        self.waiting.append(attempt)
-        if not self.dialing:
+        else:
+            self.waiting.append(attempt)
+        if not self.dialing and not full and (best is None or best.suspect or len(best.attempts) > SHARED):
             self.dialing = True
             gevent.spawn(self._dial)
 
@@ -213,7 +240,8 @@
         now = self.owner.clock.now_us()
         for connection in list(self.connections):
             unused = not connection.attempts and not connection.probes
-            if unused and (not self.ready or connection.retired or now - connection.used_us >= idle_us):
+            dead = not self.ready or connection.retired or connection.suspect
+            if unused and (dead or now - connection.used_us >= idle_us):
                 connection.close("")
 
 
@@ -264,8 +292,11 @@
         """Close what has been idle, before the engines would."""
         idle_us = int(self.config.keepalive_us * IDLE_SHARE)
         while True:
-            gevent.sleep(min(idle_us / SWEEPS / 1e6, 1.0))
+            gevent.sleep(min(idle_us / SWEEPS, CARE_US) / 1e6)
+            now = self.clock.now_us()
             for name, pool in list(self.pools.items()):
+                for connection in list(pool.connections):
+                    connection.look_after(now)
                 pool.close_idle(idle_us)
                 if not pool.ready and not pool.connections and not pool.waiting and not pool.dialing:
                     del self.pools[name]
--- a/tests/test_proxy.py
+++ b/tests/test_proxy.py
@@ -20,6 +20,7 @@
 from hollowhitch import __main__ as program
 from hollowhitch import config as configuration
 from hollowhitch.net import clients
+from hollowhitch.net import engines as engines_module
 from hollowhitch.net.dial import dial
 from hollowhitch.net.timers import Timers
 from hollowhitch.protocol import frames
@@ -227,6 +228,47 @@
     assert len(proxy.pools.pools["e0"].connections) == 2
 
 
+def test_an_answer_that_stops_short_or_never_comes_costs_only_its_connection(start, monkeypatch):
+    for name in ("AMID_US", "SILENT_US"):
+        monkeypatch.setattr(engines_module, name, 20_000)
+    monkeypatch.setattr(engines_module, "CARE_US", 5_000)
+    short = [b"00000000000000aa data fetch", b""]  # nothing follows on that connection; then it is silent
+
+    def speak(verb, ref):
+        return (short.pop(0) if short else rows(verb, ref)) if verb == "REQ" else b""
+
+    proxy, _ = start(speak)
+    client = Client(proxy)
+    client.ask(1)
+    assert client.answer() == (1, frames.SERVED, ROW)
+
+
+def test_what_a_broken_connection_carried_is_tried_again_apart_from_others(start):
+    """Guards the rest against a query on which engines close: the second time it is alone."""
+    proxy, (engine,) = start(silent)
+    client = Client(proxy)
+    client.ask(1)
+    client.ask(2, ref="00000000000000bb")
+    while len(engine.statements) < 2:
+        gevent.sleep(0.001)
+    (connection,) = proxy.pools.pools["e0"].connections
+    connection.close("broken")
+    while len(engine.statements) < 4:
+        gevent.sleep(0.001)
+    assert [len(c.attempts) for c in proxy.pools.pools["e0"].connections] == [1, 1]
+
+
+def test_attempts_are_spread_so_that_a_spoilt_connection_takes_few_along(start):
+    proxy, (engine,) = start(silent)
+    client, most = Client(proxy), proxy.config.engine_sockets_most
+    for n in range(1, 21):
+        client.ask(n, ref=f"{n:016x}")
+        while len(engine.statements) < n:
+            gevent.sleep(0.001)
+    shares = [len(c.attempts) for c in proxy.pools.pools["e0"].connections]
+    assert 2 < len(shares) <= most and max(shares) < 10
+
+
 def test_an_engine_that_drains_meanwhile_is_sent_nothing(start, monkeypatch):
     """The drain rule is checked again just before a request is written."""
     proxy, (engine,) = start(rows)
