--- a/hollowhitch/policy/control.py
+++ b/hollowhitch/policy/control.py
@@ -504,7 +504,8 @@
         cores = cores or ASSUMED_CORES
         part = THREADS * cores * self.even
         limit = THREADS * cores if part < FEW_SLOTS else part
-        return EngineTable(info, cores, memory or 0.0, max(1.0, limit), WARM_SETS, self.now, part < FEW_SLOTS)
+        return EngineTable(info, cores, memory or 0.0, max(1.0, limit), WARM_SETS, self.now, part < FEW_SLOTS,
+                           self.s.rules.tip_after_us)
 
 
 def _memory_error(memory: float) -> float:
--- a/hollowhitch/policy/state.py
+++ b/hollowhitch/policy/state.py
@@ -15,6 +15,7 @@
 
 from hollowhitch.policy import interface as api
 
+SPARE = 256  # entries of held queries that have left, before the rest are sorted out
 LONGEST_TIMER_US = 3_600_000_000  # a longer wait is cut in two by the caller's own limit
 
 
@@ -113,7 +114,7 @@
 
     def __init__(
         self, info: api.Engine, cores: float, memory: float, limit: float, warm_sets: int, now: int,
-        whole: bool,
+        whole: bool, keep: int,
     ) -> None:
         super().__init__()
         self.info, self.cores, self.limit, self.big = info, cores, limit, limit
@@ -128,7 +129,7 @@
         self.failing, self.trials, self.ejected_until = 0.0, 0, 0
         self.trial: Attempt | None = None
         self.warm: deque[int] = deque(maxlen=warm_sets)
-        self.threads, self.given = 0, Window()  # out now; work sent, for the cold budget
+        self.threads, self.given = 0, Window(keep)  # out now; work sent, for the cold budget
 
     def took(self, q: Query, a: Attempt, weight: float) -> None:
         """Book an attempt that goes out; `weight` is its work in the cold budget."""
@@ -163,15 +164,17 @@
 
 
 class Window:
-    """Amounts by time, added up over a rolling window."""
+    """Amounts by time, added up over a rolling window, at most `keep` long; what is older is forgotten."""
 
-    def __init__(self) -> None:
+    def __init__(self, keep: int) -> None:
+        self.keep = keep
         self.entries: deque[tuple[int, float]] = deque()
         self.total = 0.0
 
     def add(self, now: int, amount: float = 1.0) -> None:
         self.entries.append((now, amount))
         self.total += amount
+        self.since(now - self.keep)  # also where no rule asks for the sum
 
     def since(self, edge: int) -> float:
         """The sum at or after `edge`, which never goes back; what is older is forgotten."""
@@ -242,6 +245,9 @@
             q.held = False
             self.work -= q.work
             self.count -= 1
+            if len(self.ranked) > 2 * self.count + SPARE:  # what has left must not stay in memory
+                self.ranked = [entry for entry in self.ranked if entry[2].held]
+                heapq.heapify(self.ranked)
 
     def least_worth(self, wanted: Callable[[Query], bool]) -> Query | None:
         """Take out the held query of least worth for its work that `wanted` accepts."""
@@ -318,7 +324,7 @@
         self.open_for: list[list[EngineTable]] = [[] for _ in settings.classes]
         self.queries: dict[str, Query] = {}
         self.held, self.lines, self.agenda = HeldQueries(), KeyLines(), Agenda()
-        self.taken, self.extra = Window(), Window()
+        self.taken, self.extra = (Window(settings.rules.budget_window_us) for _ in range(2))
         self.costs, self.memories = Bounds(sample, rebin), Bounds(sample, rebin)
         self.gateways = max(settings.gateways, settings.gateway + 1)
         self.share = self.even = self.offered_share = 1 / self.gateways  # of all: answered, even, offered
@@ -549,6 +555,8 @@
 
     def _next_of(self, key: int) -> None:
         q = self.lines.first(key)
+        if q is None and self.now >= self.lines.rested.get(key, 0):
+            self.lines.rested.pop(key, None)
         if q is not None and q.held and not q.attempts and self.lines.turn(q, self.now):
             self.held.leave(q)
             self.offer(q)
--- a/tests/test_properties.py
+++ b/tests/test_properties.py
@@ -120,3 +120,25 @@
     g.run(10 * S)
     assert all(name in over or name in left for name in taken)
     assert all(over[name] <= limits[name] + 20_000 for name in over if name not in left)
+
+
+def test_nothing_is_kept_of_what_is_over():
+    """Guards the memory of a proxy that runs for long: keys, ids and data sets are always new."""
+    keyed = query_class(effect=api.Effect.KEYED, in_order=True)
+    g = Gateway(engine("e1"), engine("e2"), given=settings(keyed, query_class("s")))
+    for n in range(2000):
+        name, key = ("q", n) if n % 2 else ("s", None)
+        g.log.clear()
+        g.ask(f"r{n}", class_name=name, key=key, data_set=n)
+        if n % 3:
+            g.do(api.ClientLeft(f"r{n}"))
+        for attempt in range(4):
+            if len([a for _, a in g.log if isinstance(a, api.Send) and a.id == f"r{n}"]) > attempt:
+                g.end(f"r{n}", Outcome.CANCELLED if n % 5 == 0 else Outcome.OK, attempt)
+        g.now += 20_000
+    g.run(60 * S)
+    c = g.c
+    kept = [c.queries, c.lines.lines, c.lines.rested, c.taken.entries, c.extra.entries, c.held.lines]
+    kept += [t for e in c.engines.values() for t in (e.out, e.given.entries)]
+    assert all(len(x) < 300 for x in kept) and not c.queries and not c.lines.rested
+    assert max(len(c.held.ranked), len(c.agenda.heap), len(c.apart)) < 600
