--- a/hollowhitch/net/engines.py
+++ b/hollowhitch/net/engines.py
@@ -186,8 +186,8 @@
         self.dialing = False
 
     def start(self, attempt: Attempt) -> None:
-        """On the one that is shared least. A query on which a connection has broken gets one for itself, if there
-        may be another: else it could take others down with it again and again."""
+        """On the one that is shared least. A query on which a connection has broken gets one for itself, if
+        there may be another: else it could take others down with it again and again."""
         broke, fit = attempt.query.broke, [c for c in self.connections if c.may_carry(attempt)]
         full = len(self.connections) >= self.owner.config.engine_sockets_most + (ALONE_MORE if broke else 0)
         if broke and not full:
