Count memory granted since a late report for all gateways, less what has ended

Now the net of both counts, times the gateways; with that surer figure 1.1 of an engine's memory may be granted, since grants lie a quarter over the estimates.

At SIGTERM a client that reads nothing keeps the proxy for 2 s at the most.

--- a/hollowhitch/__main__.py
+++ b/hollowhitch/__main__.py
@@ -25,6 +25,7 @@
 
 TAKES_S = 0.9  # after SIGTERM: how long what still comes is taken and served
 POLL_S = 0.02
+WRITTEN_S = 2.0  # once all is answered: for clients to take it
 WATCH_S, STANDSTILL_S = 0.05, 0.04  # how often the loop is looked at; what is worth a line
 READ_ANEW, NEW_EACH_TIME = ("channel",), ("known", "cursor", "seed")  # at SIGHUP; with every file
 COLLECT_EVERY = 20_000  # new objects between collections: short ones, but not for every few queries
@@ -107,8 +108,11 @@
         front.warn_all()  # connections that came meanwhile
         front.stop_listening()
         front.closed = True
-        while self.gateway.unanswered or not front.written:
+        while self.gateway.unanswered:
             gevent.sleep(POLL_S)
+        with gevent.Timeout(WRITTEN_S, False):  # a client that reads nothing must not keep us
+            while not front.written:
+                gevent.sleep(POLL_S)
         front.end_all()
         with gevent.Timeout(1.0, False):
             while front.connections:
--- a/hollowhitch/policy/control.py
+++ b/hollowhitch/policy/control.py
@@ -16,7 +16,7 @@
 FIRST_WORK = 0.25  # of the aim: a class's usual work and time until something was seen
 SAMPLE, REBIN = 256, 32  # estimates kept for the class bounds, and how often these are drawn anew
 WARM_SETS, WARM_GAIN = 4, 0.8  # data sets taken as warm on an engine; work left when one is
-GRANT, MEMORY_MOST, SOFT_MEMORY = 1.25, 1.0, 0.8  # usual grant over estimate; share given out; soft limit
+GRANT, MEMORY_MOST, SOFT_MEMORY = 1.25, 1.1, 0.8  # usual grant over estimate; share given out; soft limit
 SPILL_STEP, FIT_STEP, SHORT_MOST = 0.2, 0.01, math.log(3.0)  # of a class's lack of memory: spill, fit, most
 ASSUMED_CORES, CAPACITY = 8.0, 0.85  # cores where untold; busy share at which an engine does all it can
 SMOOTH, GAIN, SWEEP_US = 0.3, 1.0, 100_000  # weight of the newest error; of a feedback step; between rounds
@@ -187,7 +187,8 @@
         if r is None or r.memory is None or not e.memory or q.grant <= 0 or not e.out:
             return True
         # Departure: memory is a limit of its own at all times, since past it all on the engine slow down.
-        return r.memory * e.memory + e.newly_granted + q.grant <= MEMORY_MOST * e.memory
+        # A report is late: what was granted since, less what has ended, is taken to be alike at all gateways.
+        return r.memory * e.memory + e.newly_granted / self.even + q.grant <= MEMORY_MOST * e.memory
 
     # ---- route: of two random ready engines, the one with less estimated own work
 
--- a/hollowhitch/policy/state.py
+++ b/hollowhitch/policy/state.py
@@ -119,7 +119,7 @@
         super().__init__()
         self.info, self.cores, self.limit, self.big = info, cores, limit, limit
         self.whole, self.newer, self.swept = whole, 0.0, now  # in whole slots; charges since the report
-        self.memory, self.newly_granted = memory, 0.0  # MB: told; ours since the last report
+        self.memory, self.newly_granted = memory, 0.0  # MB: told; ours since the report, less what ended
         self.slots = self.own_work = self.error = 0.0
         self.out: dict[tuple[str, int], Query] = {}
         self.stretch, self.heard, self.full_at = 0.0, now, None  # stretch: log of latency over best
@@ -150,6 +150,7 @@
         """Book its end; the charge and the work stay until `release`."""
         del self.out[q.id, a.n]
         self.threads -= q.cls.threads
+        self.newly_granted -= q.grant  # what an older report still counts
 
     def heard_report(self, report: api.LoadReport | None, now: int) -> None:
         if report is None:
--- a/tests/test_mechanism.py
+++ b/tests/test_mechanism.py
@@ -411,3 +411,12 @@
         g.now += 10_000
         g.end(f"r{n}", Outcome.OK, elapsed_us=5 * S if n in (3, 4, 5) else 50_000)
         assert not g.c._pressure(g.c.engines["e1"])
+
+
+def test_memory_granted_since_the_report_counts_for_all_gateways_less_what_has_ended():
+    """Guards against grants of several gateways that read one late report, and against room not seen."""
+    g = Gateway(engine("e1"))  # 16,384 MB, of two gateways
+    g.do(api.ProbeEnded("e1", Outcome.OK, 1_000, report(util=0.2, memory=0.6)))
+    big = {"cost_us": 500_000, "memory_mb": 2400.0}  # granted 3,000 each, and as much at the other gateway
+    assert of(api.Send, g.ask("a", **big)) and not of(api.Send, g.ask("b", **big))
+    assert [a.id for a in of(api.Send, g.end("a", Outcome.OK))] == ["b"]
