--- a/tests/test_proxy.py
+++ b/tests/test_proxy.py
@@ -452,6 +452,18 @@
     assert open_one.read() is None
 
 
+def test_a_client_that_reads_nothing_does_not_keep_the_proxy_from_ending(start, monkeypatch):
+    monkeypatch.setattr(program, "WRITTEN_S", 0.05)
+    proxy, _ = start(rows)
+    mute = Client(proxy)
+    mute.send(frames.ASK_READY, 1)
+    mute.read()
+    (connection,) = proxy.front.connections
+    connection.outbox.put(b"x" * 20_000_000)  # more than the kernel takes
+    gevent.spawn(proxy.finish).join()
+    assert not connection.outbox.idle
+
+
 def test_sighup_takes_the_new_channel_and_nothing_from_a_faulty_file(start, tmp_path, capsys):
     proxy, _ = start(rows)
     path = tmp_path / "c.json"
