Leave alone for a while what held an attempt up; let waiters alone drive the feedback's memory

Of what is held, the share that is held for own slots over the limit is by far the largest while reports show engines 60% busy: the steepness stands at its end, each heavy query charged the whole limit. At fault: _feedback took the memory granted (0.6 to 0.7 at full load here) as an error of its own, beside _admits, though the design names waiters; _stuck called an attempt off and kept no note.

Now a stuck attempt marks its data set on that engine for half of a load's usual time, or until an answer comes from there; it is stuck after twice its expected time instead of three times; and only waiters count as the memory error.

--- a/hollowhitch/policy/control.py
+++ b/hollowhitch/policy/control.py
@@ -42,7 +42,8 @@
 ERROR_SHARE, ERROR_STEP, ILL_MOST = 0.3, 0.15, 0.5  # failures that eject; weight of one; ill: a shared cause
 ERROR_TIMES = 2.0  # of the others' mean, which comes on top
 EJECT_US, EJECT_MOST_US = 2_000_000, 8_000_000  # rest before a trial; doubles while trials fail
-STUCK, STUCK_AIM = 3.0, 0.1  # times its expected time, and share of the aim, after which an attempt is stuck
+STUCK, STUCK_AIM = 2.0, 0.1  # times its expected time, and share of the aim, after which an attempt is stuck
+LOCKED = 0.5  # of a load's usual time: what one that held an attempt up may have left
 BAD_PLAN, BAD_PLAN_US = 4.0, 1_000_000  # time left, in fresh attempts and beyond, that is called off
 TICKS_AHEAD, ASK_US = 2.2, 500_000  # batches before its client gives up; before asking for a list again
 
@@ -202,10 +203,11 @@
         return score
 
     def _stands(self, e: EngineTable, q: Query) -> bool:
-        """Would q stand still there, behind a load of ours?"""
+        """Would q stand still there, behind a load of ours, or behind one that held an attempt of ours up?"""
         if not (q.cls.waits_for_loads or q.cls.is_load):
             return False
-        return any(o.cls.is_load and o.data_set == q.data_set for o in e.out.values())
+        ours = any(o.cls.is_load and o.data_set == q.data_set for o in e.out.values())
+        return ours or e.locked.get(q.data_set, 0) > self.now
 
     def _place(self, q: Query, only: EngineTable | None = None) -> bool:
         if not self.may_attempt(q) or not self._pool_fits(q):
@@ -346,8 +348,9 @@
         seen = 2 * r.util / CAPACITY if r and r.util is not None else 0.0
         tasks = max(seen, math.exp(e.stretch)) if not seen or self._pressure(e) else seen
         waiting = (r.waiting or 0) * self.even / max(len(e.out), 1) if r else 0.0  # a running query
-        memory = max(r.memory or 0.0, min(waiting, 1.0)) if r else 0.0
-        e.error += SMOOTH * (tasks - 2 + _memory_error(memory) - e.error)
+        # Memory granted is a limit of its own (_admits). In the steepness it would count twice, and at its
+        # usual height alone charge each heavy query the whole limit.
+        e.error += SMOOTH * (tasks - 2 + _memory_error(min(waiting, 1.0)) - e.error)
         # In whole slots few queries meet one engine: the rates are pooled, and scaled to all gateways.
         rates, scale = (self.rates, 1 / (self.even * len(self.engines))) if e.whole else (e, 1.0)
         hold, send = rates.hold_rate * scale, rates.send_rate * scale
@@ -419,11 +422,20 @@
         fresh = self.now + q.work / q.cls.threads * math.exp(max(self.stretch, 0.0))
         if wait > STUCK_AIM * q.cls.aim_us:  # its engine has slowed down since
             return self.agenda.add(self.now + wait, self._stuck, a)
+        if q.cls.waits_for_loads:
+            self._mark(a.engine, q.data_set)
         ends = q.expires if self.now > q.aim and q.cls.late_share else q.aim
         others = [e for e in self._apart(q) if e is not a.engine and self._may_use(e, q)]
         if fresh < ends and any(self._admits(e, q) and not self._stands(e, q) for e in others):
             self._call_off(q, a.n)
 
+    def _mark(self, e: EngineTable, data_set: int) -> None:
+        """Another gateway's load seems to hold it there: nothing else tells of those."""
+        if len(e.locked) >= SETS_MOST:
+            e.locked = {d: until for d, until in e.locked.items() if until > self.now}
+        usual = (k.usual_us for k, c in zip(self.classes, self.s.classes, strict=True) if c.is_load)
+        e.locked[data_set] = self.now + LOCKED * max(usual, default=0)
+
     def _call_off(self, q: Query, n: int) -> None:
         may = not q.done and q.cls.effect is Effect.SAFE and self.budget_left()
         if may and len(q.attempts) < self.s.limits.max_attempts:
@@ -459,6 +471,7 @@
         self._hear(e, ev.report)
         if o is Outcome.OK:
             e.release(a)
+            e.locked.pop(q.data_set, None)
             e.failing -= ERROR_STEP * e.failing
             for other in q.blamed:
                 self._bad_news(other)
--- a/hollowhitch/policy/state.py
+++ b/hollowhitch/policy/state.py
@@ -129,6 +129,7 @@
         self.failing, self.trials, self.ejected_until = 0.0, 0, 0
         self.trial: Attempt | None = None
         self.warm: deque[int] = deque(maxlen=warm_sets)
+        self.locked: dict[int, float] = {}  # until when another gateway's load may hold a data set
         self.threads, self.given = 0, Window(keep)  # out now; work sent, for the cold budget
 
     def took(self, q: Query, a: Attempt, weight: float) -> None:
--- a/tests/test_mechanism.py
+++ b/tests/test_mechanism.py
@@ -440,3 +440,35 @@
     assert not of(api.Send, g.ask("m", class_name="load", data_set=3, cost_us=50_000))
     assert of(api.Send, g.ask("other", data_set=4, cost_us=50_000))
     assert [a.id for a in of(api.Send, g.end("l", Outcome.OK))] == ["r", "m"]
+
+
+def test_where_an_attempt_got_stuck_its_data_set_is_left_alone_for_a_while():
+    """Guards against the loads of other gateways, of which nothing tells but what they hold up."""
+    told = settings(query_class("q", waits_for_loads=True), query_class("load", is_load=True, aim_us=4 * S))
+    g = Gateway(engine("e1"), engine("e2"), given=told)
+    stuck = of(api.Send, g.ask("a", data_set=3, cost_us=100_000))[0].engine
+    assert of(api.CancelAttempt, g.run(S // 2))
+    g.end("a", Outcome.CANCELLED)
+
+    def met(data_set: int, name: str) -> set[str]:
+        names = [f"{name}{n}" for n in range(6)]
+        sent = {of(api.Send, g.ask(x, data_set=data_set, cost_us=50_000))[0].engine for x in names}
+        for x in names:
+            g.end(x, Outcome.OK)
+        return sent
+
+    assert stuck not in met(3, "b") and stuck in met(4, "c")
+    g.run(S)
+    assert stuck in met(3, "d")
+
+
+def test_memory_granted_alone_makes_heavy_queries_no_dearer():
+    """It is a limit of its own; else its usual height would charge each of them the whole limit."""
+    g, full = Gateway(engine("e1")), report(util=0.5, memory=0.75, waiting=0)
+    e = g.c.engines["e1"]
+    for n in range(30):
+        g.ask(f"r{n}", memory_mb=10.0)
+        g.end(f"r{n}", Outcome.OK, report=full)
+        e.holds += 5
+        g.run(S // 10)
+    assert e.big == e.limit
