Name the listening address when it can't be had, and end with code 2

Excluded: the configuration, which was read. At fault: Proxy.start let the OSError of the listener pass, where every other fault of the start is one line that names its key.

--- a/hollowhitch/__main__.py
+++ b/hollowhitch/__main__.py
@@ -60,7 +60,10 @@
         self.channel.follow(self.config.channel)
         gevent.spawn(self.pools.sweep_forever)
         gevent.spawn(self.watch_standstills)
-        self.front.start()
+        try:
+            self.front.start()
+        except OSError as e:
+            raise configuration.ConfigError(f"listen: {e}") from None
         say("proxy", f"{self.config.name} listens on {self.front.address[0]}:{self.front.address[1]}")
 
     def reread(self, env: Mapping[str, str]) -> None:
@@ -122,11 +125,10 @@
 
 def main() -> int:
     try:
-        config = configuration.read(os.environ)
+        return Proxy(configuration.read(os.environ)).run()
     except configuration.ConfigError as e:
         print(f"hollowhitch: {e}", file=sys.stderr)
         return 2
-    return Proxy(config).run()
 
 
 if __name__ == "__main__":
--- a/tests/test_config.py
+++ b/tests/test_config.py
@@ -3,7 +3,9 @@
 from __future__ import annotations
 
 import copy
+import json
 import os
+import socket
 import subprocess
 import sys
 
@@ -63,3 +65,13 @@
         env["ROUTER_CONFIG"] = str(tmp_path / "c.json")
     done = subprocess.run([sys.executable, "-m", "hollowhitch"], env=env, capture_output=True, text=True)
     assert done.returncode != 0 and named in done.stderr and "Traceback" not in done.stderr
+
+
+def test_an_address_in_use_is_named_too(tmp_path):
+    """Another process holds it: a message for the operator, not a trace."""
+    with socket.create_server(("127.0.0.1", 0)) as taken:
+        listen = f"127.0.0.1:{taken.getsockname()[1]}"
+        (tmp_path / "c.json").write_text(json.dumps(boot.config(listen=listen)))
+        env = {**os.environ, "ROUTER_CONFIG": str(tmp_path / "c.json")}
+        done = subprocess.run([sys.executable, "-m", "hollowhitch"], env=env, capture_output=True, text=True)
+    assert done.returncode == 2 and "hollowhitch: listen: " in done.stderr and "Traceback" not in done.stderr
