Take 1.3 times our share of a tenant's quota before its work counts as over

At fault: _estimate_share gives each bucket our even part or what we answered of all work, which lags behind where traffic turns, and offer() refuses outright what is over.

--- a/hollowhitch/policy/control.py
+++ b/hollowhitch/policy/control.py
@@ -36,6 +36,7 @@
 DRAWS, TRIES = 6, 12  # engines drawn to find two candidates; looked at where these do not take a query
 QUOTA_US, FEW_QUOTA_US = 1_000_000, 15_000_000  # slack of a tenant's quota; where our part is a few queries
 PATIENCE, FEW_PATIENCE = 0.5, 2.0  # of the time to spare that held work may take; where our part is small
+QUOTA_MORE = 1.3  # of our part: traffic is never spread evenly over the gateways
 DRAIN_STEP, DRAIN_LEAST = 0.1, 0.2  # weight of a round in the drain rate; its least, in our even part
 SILENT_US, OVERDUE = 1_000_000, 4.0  # silent: says nothing so long with work this far past its time
 STALL_US, COLD_SAFETY = 300_000, 0.6  # a timer of ours this late: we stood still; of a cold engine's budget
@@ -336,7 +337,9 @@
         self.served = self.offered = 0.0
         share = max(self.share, self.even, self.offered_share if self.whole else 0.0)
         for bucket in self.quotas.values():
-            bucket.part = share  # swamped, we carry more than the even part of each tenant's quota too
+            # Swamped, we carry more than the even part of each tenant's quota too, and cannot know how much.
+            # What is taken for over its share is refused outright, so doubt counts for the tenant.
+            bucket.part = min(1.0, QUOTA_MORE * share)
         self.rates.smooth(SMOOTH, SWEEP_US)
         for e in () if self.whole else self.engines.values():
             scale = max(1.0, THREADS * e.cores * share) / e.limit
--- a/tests/test_mechanism.py
+++ b/tests/test_mechanism.py
@@ -472,3 +472,16 @@
         e.holds += 5
         g.run(S // 10)
     assert e.big == e.limit
+
+
+@pytest.mark.parametrize("per_s,over", [(24, False), (40, True)])
+def test_a_tenant_a_little_over_our_even_part_of_its_quota_is_not_over_its_share(per_s, over):
+    """Guards tenants whose traffic is spread unevenly: only all gateways together meet the quota."""
+    g = Gateway(engine("e1"), given=settings(tenants=(api.Tenant("t", 40.0, 0.5),)))  # two gateways: 20 each
+    seen = []
+    for n in range(per_s * 8):
+        g.run(S // per_s)
+        g.ask(f"r{n}", tenant="t", cost_us=1_000)
+        seen.append(g.c.queries[f"r{n}"].over)
+        g.end(f"r{n}", Outcome.OK, elapsed_us=1_000)
+    assert any(seen) == over
