Let a report's memory bind at many gateways, faded, without multiplying own grants

From 5 s on reports show more memory granted than there is, while cores are at 0.6 to 0.7: mean of the reports 0.63, highest 1.84 at 6 s, 2.76 at 9 s, 4.66 at 10 s. Such engines then say nothing any more (s- gave 8 and 12 answers in the first 8 s, then one in the next 28 s), attempts there are called off, and the proxies refuse 83 to 89% of what comes at 10 to 15 s.

At fault: Controller._admits, `or not e.out: return True`: with 60 to 200 proxies hardly any has a query of its own at an engine, so the limit of memory never held. And `e.newly_granted / self.even`: where it does, one grant counts as often as there are proxies. A report also counted in full for 2 s and then not at all.

Change: in whole slots (many gateways) a report's memory fades to the average of those heard and binds whether or not anything of ours is out there; of grants since, only our own count. One query may always be out, so that something is heard. FADE_US is the time within which most queries are over. With few gateways nothing changes.

--- a/hollowhitch/policy/control.py
+++ b/hollowhitch/policy/control.py
@@ -19,6 +19,7 @@
 GRANT, MEMORY_MOST, SOFT_MEMORY = 1.25, 1.1, 0.8  # usual grant over estimate; share given out; soft limit
 SPILL_STEP, FIT_STEP, SHORT_MOST = 0.2, 0.01, math.log(3.0)  # of a class's lack of memory: spill, fit, most
 ASSUMED_CORES, CAPACITY = 8.0, 0.85  # cores where untold; busy share at which an engine does all it can
+FADE_US = 4_000_000  # a report's word on memory fades: most queries are over by then
 SMOOTH, GAIN, SWEEP_US = 0.3, 1.0, 100_000  # weight of the newest error; of a feedback step; between rounds
 SHARE_STEP, OFFERED_STEP = 0.05, 0.03  # weight of a round in our share of answered and of offered work
 BUSY, CALM, IDLE = 0.93, 0.8, 0.6  # a reported share above this is pressure; below: room; no contention
@@ -144,6 +145,7 @@
             self.crowd += STEP * (self._tasks(e, report) - self.crowd)
             self.crowd_at = self.now
             self.busy += STEP * (report.busiest - self.busy)
+            self.granted += STEP * ((report.memory or 0.0) - self.granted)
             self.tense += STEP * (self._pressure(e) - self.tense)
 
     def _calm(self, e: EngineTable, below: float) -> bool:
@@ -186,12 +188,28 @@
         charge, r = self._charge(q, e.limit, e.big), self._report(e)
         if self._pressure(e, charge) and (q.over or self._used(e) + charge > e.limit + 1e-9):
             return False
+        if e.whole:
+            return self._memory_fits(e, q)
         if r is None or r.memory is None or not e.memory or q.grant <= 0 or not e.out:
             return True
         # Departure: memory is a limit of its own at all times, since past it all on the engine slow down.
         # A report is late: what was granted since, less what has ended, is taken to be alike at all gateways.
         return r.memory * e.memory + e.newly_granted / self.even + q.grant <= MEMORY_MOST * e.memory
 
+    def _memory_fits(self, e: EngineTable, q: Query) -> bool:
+        """Departure: of many gateways hardly any has work of its own at an engine, and reports are old.
+        So the report binds with nothing of ours there too, and fades to the average of those heard."""
+        if not e.memory or q.grant <= 0 or not self.slots:  # one query may always be out, or nothing is heard
+            return True
+        return self._granted(e) * e.memory + e.newly_granted + q.grant <= MEMORY_MOST * e.memory
+
+    def _granted(self, e: EngineTable) -> float:
+        """Share of its memory granted, by all: as reported, ever more as the average is."""
+        average = self.granted * math.exp((self.crowd_at - self.now) / FADE_US)
+        if e.report is None or e.report.memory is None:
+            return average
+        return average + (e.report.memory - average) * math.exp((e.report_at - self.now) / FADE_US)
+
     # ---- route: of two random ready engines, the one with less estimated own work
 
     def _score(self, e: EngineTable, q: Query) -> float:
--- a/hollowhitch/policy/state.py
+++ b/hollowhitch/policy/state.py
@@ -336,7 +336,7 @@
         self.whole, self.cores = False, 1.0  # any engine in whole slots; cores
         self.served = self.offered = 0.0  # work since the last sweep
         self.drain = 1e6  # work answered in a second
-        self.slots = self.stretch = self.tense = self.best = self.crowd = 0.0
+        self.slots = self.stretch = self.tense = self.best = self.crowd = self.granted = 0.0
         self.crowd_at, self.busy, self.steep = -(10**9), 0.1, 1.0
         self.steady_at = 0  # times before are not read
         self.label, self.armed, self.all_ill = 0, 0, False
--- a/tests/test_large_fleet.py
+++ b/tests/test_large_fleet.py
@@ -224,3 +224,41 @@
     assert {of(api.Send, g.ask())[0].engine for _ in range(5)} == {"e1", "e2"} - {refused}
     g.now += 2 * S
     assert refused in {a.engine for _ in range(20) for a in of(api.Send, g.ask())}
+
+
+def test_reported_memory_binds_where_nothing_of_ours_is_out():
+    """Among hundreds of gateways that is the rule, not the exception."""
+    g = large(engine("e1"), engine("e2"))
+    hear(g, "e2", util=0.2, memory=0.2)
+    assert of(api.Send, g.ask("first", memory_mb=100.0))  # else the next is the one that may always be out
+    hear(g, "e1", util=0.2, memory=1.0)
+    for i in range(6):
+        hear(g, "e2", util=0.2, memory=0.2 + i / 1000)  # news: what was granted before it is counted in it
+        assert of(api.Send, g.ask(f"r{i}", memory_mb=4000.0))[0].engine == "e2"
+    hear(g, "e2", util=0.2, memory=1.0)
+    assert not of(api.Send, g.ask("held", memory_mb=4000.0))
+
+
+def test_what_others_granted_is_not_guessed_from_a_single_grant_of_ours():
+    """290 times a grant of 1,000 MB would close every engine that we have a query at."""
+    g = large(engine("e1"))
+    hear(g, "e1", util=0.2, memory=0.2)
+    assert of(api.Send, g.ask("first", memory_mb=1000.0))
+    assert of(api.Send, g.ask("second", memory_mb=1000.0))
+
+
+def test_a_report_of_memory_fades_to_the_average_and_that_to_nothing():
+    g = large()
+    for _ in range(200):
+        hear(g, "e1", memory=0.5)
+    hear(g, "e2", memory=1.5)
+    e1, e2 = g.c.engines["e1"], g.c.engines["e2"]
+    assert g.c._granted(e2) == pytest.approx(1.5)
+    g.now += 4 * S
+    for _ in range(50):
+        hear(g, "e1", memory=0.5)
+    assert 0.8 < g.c._granted(e2) < 1.0
+    assert g.c._granted(g.c.engines["e3"]) == pytest.approx(0.5, rel=0.1)  # never heard
+    g.now += 60 * S
+    g.do(api.TimerFired(99))
+    assert g.c._granted(e1) < 0.01
