Send where an answer freed a place, and bind the limit over all engines earlier

At 8 s an engine takes 57 queries in a second where the mean is 17, stands still for 6 s and answers 3 of them: s- ... 9:12/14/0 5:11/11/0 33:57/28/3 42:39/0/30 49:24/0/23 (most at once : sent / answered / called off) Of the sends to engines with 14 and more at once, at 7 to 9 s, 280 of 365 came from a draw among all engines, at 9 to 12 s 1,044 of 1,138; half of the latter by a proxy that had never heard from the engine. Queries called off had met 20 to 31 others (4 to 6 threads a core), answered ones 6 to 12 (1.3 to 2.5). A table-check takes 1.1 times its work up to 1.5 threads a core, 2.1 times at 2.5, 4.5 times at 4.

At fault: Controller._draw, two of all engines at random: a proxy knows one in three of them, and the rest, those that stand still among them, count as average. _place took the least busy of twelve, which herds. _pool_fits bound only once latency or a quarter of the reports told, and let each proxy have two deviations over its mean: at 60 or 200 proxies these add up to nearly twice the limit.

Change, in whole slots only: candidates are drawn from engines whose answer, with room left, no send of ours has followed yet (4 s at most, then it is forgotten); an engine that stands still answers nothing and gets no more. Further candidates are two, not twelve. The limit over all engines binds from half of IDLE on and has one deviation.

--- a/hollowhitch/policy/control.py
+++ b/hollowhitch/policy/control.py
@@ -9,7 +9,7 @@
 import zlib
 
 from hollowhitch.policy import interface as api
-from hollowhitch.policy.state import Attempt, ClassTable, EngineTable, Ledger, Query
+from hollowhitch.policy.state import Answered, Attempt, ClassTable, EngineTable, Ledger, Query
 
 STEP = 0.05  # weight of one outcome in a class's corrections: told estimates scatter widely
 CLEAN_QUANTILE, RATIO_MOST = 0.2, 1.0  # without bills: a class's fast outcomes are clean; bound of the log
@@ -19,7 +19,6 @@
 GRANT, MEMORY_MOST, SOFT_MEMORY = 1.25, 1.1, 0.8  # usual grant over estimate; share given out; soft limit
 SPILL_STEP, FIT_STEP, SHORT_MOST = 0.2, 0.01, math.log(3.0)  # of a class's lack of memory: spill, fit, most
 ASSUMED_CORES, CAPACITY = 8.0, 0.85  # cores where untold; busy share at which an engine does all it can
-FADE_US = 4_000_000  # a report's word on memory fades: most queries are over by then
 SMOOTH, GAIN, SWEEP_US = 0.3, 1.0, 100_000  # weight of the newest error; of a feedback step; between rounds
 SHARE_STEP, OFFERED_STEP = 0.05, 0.03  # weight of a round in our share of answered and of offered work
 BUSY, CALM, IDLE = 0.93, 0.8, 0.6  # a reported share above this is pressure; below: room; no contention
@@ -32,17 +31,16 @@
 STRETCH_STEP, STRETCH_FADE = 0.15, 0.98  # weight of an outcome; fade per sweep back to average
 FULL_US, FEW_FULL_US, FRESH_US = 1_000_000, 4_000_000, 2_000_000  # belief: full; in whole slots; a report
 PROBE_US, ASK_WAIT_US = 500_000, 25_000  # age of a report that calls for a probe, at 0.01 each; wait for it
-CROSS_COST = 10.0  # a zone crossed, times its price
+CROSS_COST, FADE_US = 10.0, 4_000_000  # a zone crossed, times its price; a report fades as queries end
 PARTED, SETS_MOST = 3, 256  # engines from which on loads are kept apart; data sets whose parts are kept
 DRAWS, TRIES = 6, 12  # engines drawn to find two candidates; looked at where these do not take a query
 QUOTA_US, FEW_QUOTA_US = 1_000_000, 15_000_000  # slack of a tenant's quota; where our part is a few queries
 PATIENCE, FEW_PATIENCE = 0.5, 2.0  # of the time to spare that held work may take; where our part is small
-QUOTA_MORE = 1.3  # of our part: traffic is never spread evenly over the gateways
+QUOTA_MORE, ERROR_TIMES = 1.3, 2.0  # of our part: traffic is never even; others' mean failures, on top
 DRAIN_STEP, DRAIN_LEAST = 0.1, 0.2  # weight of a round in the drain rate; its least, in our even part
 SILENT_US, OVERDUE = 1_000_000, 4.0  # silent: says nothing so long with work this far past its time
 STALL_US, COLD_SAFETY = 300_000, 0.6  # a timer of ours this late: we stood still; of a cold engine's budget
 ERROR_SHARE, ERROR_STEP, ILL_MOST = 0.3, 0.15, 0.5  # failures that eject; weight of one; ill: a shared cause
-ERROR_TIMES = 2.0  # of the others' mean, which comes on top
 EJECT_US, EJECT_MOST_US = 2_000_000, 8_000_000  # rest before a trial; doubles while trials fail
 STUCK, STUCK_AIM = 2.0, 0.1  # times its expected time, and share of the aim, after which an attempt is stuck
 LOCKED = 0.5  # of a load's usual time: what one that held an attempt up may have left
@@ -56,6 +54,7 @@
     def __init__(self, settings: api.Settings, seed: int) -> None:
         super().__init__(settings, seed, SAMPLE, REBIN)
         self.classes = [ClassTable(c.aim_us * FIRST_WORK) for c in settings.classes]
+        self.answered = Answered()
         self.apart: dict[tuple[int, int], list[EngineTable]] = {}  # by class and data set
 
     def handle(self, now_us: int, event: api.Event) -> list[api.Action]:
@@ -124,12 +123,13 @@
         """Departure: a limit, in threads, of our own over all engines, where our part of one is too small."""
         calm = min(1.0, THREADS / math.exp(max(self.stretch, 0.0)))
         mean = THREADS * self.cores * self.offered_share * calm * calm
-        limit = max(1.0, mean + 2 * math.sqrt(mean))  # arrivals come in clumps: two deviations above the mean
+        limit = max(1.0, mean + math.sqrt(mean))  # arrivals come in clumps, but what all may send adds up
         return limit, self._charge(q, limit, max(1.0, self.steep * limit)) + q.cls.threads - 1
 
     def _pool_fits(self, q: Query) -> bool:
-        signs = (self.tense >= TENSE) + (self.stretch >= TENSE_STRETCH)
-        # Reports that cannot be asked for come too late: one sign will do. One query may always be out.
+        crowded = self.busy >= IDLE / 2  # an average that hides some engines twice as busy
+        signs = (self.tense >= TENSE) + (self.stretch >= TENSE_STRETCH) + crowded
+        # Reports not asked for come too late: one sign will do. One query may always be out.
         if not self.whole or not self.slots or signs < (2 if self.s.limits.probes else 1):
             return True
         limit, charge = self._pool_charge(q)
@@ -197,8 +197,7 @@
         return r.memory * e.memory + e.newly_granted / self.even + q.grant <= MEMORY_MOST * e.memory
 
     def _memory_fits(self, e: EngineTable, q: Query) -> bool:
-        """Departure: of many gateways hardly any has work of its own at an engine, and reports are old.
-        So the report binds with nothing of ours there too, and fades to the average of those heard."""
+        """Departure: hardly any of many gateways has work at an engine. Its report binds even so."""
         if not e.memory or q.grant <= 0 or not self.slots:  # one query may always be out, or nothing is heard
             return True
         return self._granted(e) * e.memory + e.newly_granted + q.grant <= MEMORY_MOST * e.memory
@@ -206,9 +205,8 @@
     def _granted(self, e: EngineTable) -> float:
         """Share of its memory granted, by all: as reported, ever more as the average is."""
         average = self.granted * math.exp((self.crowd_at - self.now) / FADE_US)
-        if e.report is None or e.report.memory is None:
-            return average
-        return average + (e.report.memory - average) * math.exp((e.report_at - self.now) / FADE_US)
+        since = (e.report.memory or 0.0) - average if e.report else 0.0
+        return average + since * math.exp((e.report_at - self.now) / FADE_US)
 
     # ---- route: of two random ready engines, the one with less estimated own work
 
@@ -239,8 +237,8 @@
                 some = self.rng.sample(some, TRIES)
             fit = [e for e in some if e in pool and self._may_use(e, q) and self._admits(e, q)]
             fit = [e for e in fit if not self._stands(e, q)]  # held, it takes the first that gets free
-            if fit:
-                return self._send(q, min(fit, key=lambda e: self._score(e, q)))
+            if fit:  # of two: to the least busy of many all gateways go at once
+                return self._send(q, min(fit[:2] if self.whole else fit, key=lambda e: self._score(e, q)))
         return False
 
     def _apart(self, q: Query) -> list[EngineTable]:
@@ -261,7 +259,14 @@
 
     def _draw(self, q: Query) -> list[EngineTable]:
         pool = self._apart(q)
-        if q.cls.is_load:  # where none of ours is: else it would stand still, though later than it need
+        if self.whole:
+            # Departure: hardly any engine has own work; where a report shows room, all go. So draw from those
+            # whose answer no send of ours has followed. An engine that stands still, unheard, gets no more.
+            answered = self.answered.since(self.now - FADE_US)
+            spare = [e for e in answered if e in pool and self._may_use(e, q)]
+            if len(spare) > 1:
+                return self.rng.sample(spare, 2)
+        elif q.cls.is_load:  # where none of ours is: else it would stand still, though later than it need
             usable = [e for e in self.open_for[q.ci] if self._may_use(e, q)]
             homes, free = ([e for e in pool if e in usable], [e for e in usable if not self._stands(e, q)])
             return ([e for e in homes if e in free] or free or homes)[:2]
@@ -272,6 +277,7 @@
         charges = self._charge(q, e.limit, e.big), self._pool_charge(q)[1]
         a = self.book(q, Attempt(q, len(q.attempts), e, self.now, *charges, q.work))
         self._wake(e)
+        self.answered.use(e)
         timeout = 0
         if e.ejected_until:  # a trial, ended in good time where it cannot be called off
             e.trial, timeout = a, 0 if self.s.limits.cancel else int(self._overdue_us(q))
@@ -497,6 +503,8 @@
             for other in q.blamed:
                 self._bad_news(other)
             self.served += a.work
+            if e.whole and (r := self._report(e)) is not None and r.busiest < CALM:
+                self.answered.add(self.now, e)
             if self.now >= self.steady_at:
                 self._learn(q, ev, e)
             if e.ejected_until and (e.trial is a or e.failing < ERROR_SHARE):
--- a/hollowhitch/policy/state.py
+++ b/hollowhitch/policy/state.py
@@ -165,6 +165,26 @@
         self.own_work = max(0.0, self.own_work - a.work)
 
 
+class Answered:
+    """Engines by their answers, each of which one later send uses up."""
+
+    def __init__(self) -> None:
+        self.entries: deque[tuple[int, EngineTable]] = deque()
+
+    def add(self, now: int, e: EngineTable) -> None:
+        self.entries.append((now, e))
+
+    def use(self, e: EngineTable) -> None:
+        if (entry := next((x for x in self.entries if x[1] is e), None)) is not None:
+            self.entries.remove(entry)
+
+    def since(self, edge: int) -> list[EngineTable]:
+        """Each once, in the order of its oldest answer; what is older than `edge` is forgotten."""
+        while self.entries and self.entries[0][0] < edge:
+            self.entries.popleft()
+        return list({e.info.id: e for _, e in self.entries}.values())
+
+
 class Window:
     """Amounts by time, added up over a rolling window, at most `keep` long; what is older is forgotten."""
 
