Grant a cold engine single queries by chance, and count called-off attempts as slow

With 200 gateways a part of a cold engine's told budget is 0.6 x 4 x 0.31 x 8 x 0.85 x 3 s / 200 = 76 ms in 3 s. The turns that 120 of them then took were of 127 ms, and a query counts with its class's mean work at least: 150 ms for the lightest class, 5 s for the others.

At fault: Controller._cold_fits, `if part < unit`; Controller.account, which read latency from answers alone.

Change, in whole slots only: where a part is less than a query, each gateway draws once per stretch of tip_after_us (which begins at another time at each) and may send one query with the chance part / its work, so that all gateways together spend the budget in the mean. A query of more than a twentieth of the budget gets no such chance: with 20 such sends on average three deviations still lie under the budget that the safety of 0.6 leaves. An attempt called off enters the latency with the time that it was out.

--- a/hollowhitch/policy/control.py
+++ b/hollowhitch/policy/control.py
@@ -39,7 +39,7 @@
 QUOTA_MORE, ERROR_TIMES = 1.3, 2.0  # of our part: traffic is never even; others' mean failures, on top
 DRAIN_STEP, DRAIN_LEAST = 0.1, 0.2  # weight of a round in the drain rate; its least, in our even part
 SILENT_US, OVERDUE = 1_000_000, 4.0  # silent: says nothing so long with work this far past its time
-STALL_US, COLD_SAFETY = 300_000, 0.6  # a timer of ours this late: we stood still; of a cold engine's budget
+STALL_US, COLD_SAFETY, COLD_MOST = 300_000, 0.6, 0.05  # late timer: we stood still; of a cold budget
 ERROR_SHARE, ERROR_STEP, ILL_MOST = 0.3, 0.15, 0.5  # failures that eject; weight of one; ill: a shared cause
 EJECT_US, EJECT_MOST_US = 2_000_000, 8_000_000  # rest before a trial; doubles while trials fail
 STUCK, STUCK_AIM = 2.0, 0.1  # times its expected time, and share of the aim, after which an attempt is stuck
@@ -107,11 +107,14 @@
             known.mem_ratio += STEP * (math.log(ev.memory_mb / memory) - known.mem_ratio)
         known.short = max(0.0, known.short - FIT_STEP)
         known.usual_us += STEP * (ev.elapsed_us - known.usual_us)
-        over = min(q.over_best(ev.elapsed_us, SLACK), STRETCH_MOST)
-        if self.whole and (r := self._report(e)) and r.busiest < CALM:
-            self.best += STEP * (over - self.best)  # spills, cold reads and locks are no crowd
-        e.stretch += STRETCH_STEP * (over - self.best - e.stretch)
-        self.stretch += STRETCH_STEP * (over - self.best - self.stretch)
+        if self.whole and (r := self._report(e)) and r.busiest < CALM:  # spills and locks are no crowd
+            self.best += STEP * (min(q.over_best(ev.elapsed_us, SLACK), STRETCH_MOST) - self.best)
+        self._took(q, ev, e)
+
+    def _took(self, q: Query, ev: api.AttemptEnded, e: EngineTable) -> None:
+        over = min(q.over_best(ev.elapsed_us, SLACK), STRETCH_MOST) - self.best
+        e.stretch += STRETCH_STEP * (over - e.stretch)
+        self.stretch += STRETCH_STEP * (over - self.stretch)
 
     # ---- charge: alpha x (half the cost bound + half the memory bound, each over its top) + 1
 
@@ -192,8 +195,7 @@
             return self._memory_fits(e, q)
         if r is None or r.memory is None or not e.memory or q.grant <= 0 or not e.out:
             return True
-        # Departure: memory is a limit of its own at all times, since past it all on the engine slow down.
-        # A report is late: what was granted since, less what has ended, is taken to be alike at all gateways.
+        # Departure: memory is always a limit. A report is late: grants since, less ends, are taken as alike.
         return r.memory * e.memory + e.newly_granted / self.even + q.grant <= MEMORY_MOST * e.memory
 
     def _memory_fits(self, e: EngineTable, q: Query) -> bool:
@@ -361,8 +363,7 @@
         self.served = self.offered = 0.0
         share = max(self.share, self.even, self.offered_share if self.whole else 0.0)
         for bucket in self.quotas.values():
-            # Swamped, we carry more than the even part of each tenant's quota too, and cannot know how much.
-            # What is taken for over its share is refused outright, so doubt counts for the tenant.
+            # Swamped, we carry more of each quota too, and cannot know how much: doubt counts for the tenant.
             bucket.part = min(1.0, QUOTA_MORE * share)
         self.rates.smooth(SMOOTH, SWEEP_US)
         for e in () if self.whole else self.engines.values():
@@ -375,8 +376,7 @@
         seen = 2 * r.util / CAPACITY if r and r.util is not None else 0.0
         tasks = max(seen, math.exp(e.stretch)) if not seen or self._pressure(e) else seen
         waiting = (r.waiting or 0) * self.even / max(len(e.out), 1) if r else 0.0  # a running query
-        # Memory granted is a limit of its own (_admits). In the steepness it would count twice, and at its
-        # usual height alone charge each heavy query the whole limit.
+        # Memory granted, a limit of its own (_admits), would count twice and charge heavy queries all slots.
         e.error += SMOOTH * (tasks - 2 + _memory_error(min(waiting, 1.0)) - e.error)
         # In whole slots few queries meet one engine: the rates are pooled, and scaled to all gateways.
         rates, scale = (self.rates, 1 / (self.even * len(self.engines))) if e.whole else (e, 1.0)
@@ -513,6 +513,8 @@
             return
         keep = 0 if o is Outcome.MOOT else a.sent + self.classes[q.ci].usual_us - self.now
         self.agenda.add(self.now + max(keep, 0), e.release, a)
+        if o is Outcome.CANCELLED and self.whole and not q.done and self.now >= self.steady_at:
+            self._took(q, ev, e)  # too long: where few answers come, they would tell of the fast ones alone
         if o is Outcome.FULL:
             e.full_at = self.now
             self.tense += STEP * (1 - self.tense)
@@ -531,15 +533,13 @@
         if not e.info.started_us or self.now > e.info.started_us + r.cold_us or not r.tip_multiple:
             return True
         budget = COLD_SAFETY * r.tip_multiple * r.start_capacity * e.cores * CAPACITY * r.tip_after_us
-        part = budget * self.even
-        unit = min(c.aim_us for c in self.s.classes) * FIRST_WORK
-        if part < unit:  # Departure: under a query each, gateways take turns, by told facts alone
-            turns = max(1, int(budget / 2 / unit))  # a window touches two slots of its own length
-            slot = (self.now - e.info.started_us) // r.tip_after_us
-            if (self.s.gateway - slot * turns) % self.gateways >= turns:
-                return False
-            part = budget / 2 / turns
-        return e.given.since(self.now - r.tip_after_us) + q.weight <= part
+        part, given = budget * self.even, e.given.since(self.now - r.tip_after_us)
+        if not e.whole or given or given + q.weight <= part:
+            return given + q.weight <= part
+        # Departure: where a part is less than a query, chance grants one: parts add up to the budget still.
+        slot = int((self.now - e.info.started_us) / r.tip_after_us + self.s.gateway * self.even)
+        e.slot, e.luck = (slot, e.luck if slot == e.slot else self.rng.random())
+        return q.weight * e.luck <= part and q.weight <= COLD_MOST * budget
 
     def listed(self, ev: api.EngineList, first: bool) -> None:
         """Rule 3: a drain counts at once. Rule 6: each class keeps its own list of engines open to it."""
--- a/hollowhitch/policy/state.py
+++ b/hollowhitch/policy/state.py
@@ -131,6 +131,7 @@
         self.warm: deque[int] = deque(maxlen=warm_sets)
         self.locked: dict[int, float] = {}  # until when another gateway's load may hold a data set
         self.threads, self.given = 0, Window(keep)  # out now; work sent, for the cold budget
+        self.slot, self.luck = -1, 1.0  # while cold: the last stretch of time looked at, and our draw in it
 
     def took(self, q: Query, a: Attempt, weight: float) -> None:
         """Book an attempt that goes out; `weight` is its work in the cold budget."""
--- a/tests/test_large_fleet.py
+++ b/tests/test_large_fleet.py
@@ -307,3 +307,31 @@
         answers(g, f"a{i}", util=0.1, memory=0.1)
         g.now += 50_000
     assert len(g.c.answered.entries) <= 80 + 1  # of 4 s
+
+
+def test_a_cold_engine_gets_queries_though_each_part_of_its_budget_is_less_than_one():
+    """Of 290 parts of 11 ms: a few gateways may send 200 ms in any stretch, each at a time of its own."""
+    sent = []
+    for i in range(290):
+        g = Gateway(engine("cold", started_us=10 * S), engine("warm"),
+                    given=settings(gateway=i, gateways=290), seed=i)
+        cold, window = g.c.engines["cold"], g.c.s.rules.tip_after_us
+        g.ask("q", cost_us=200_000)
+        q, part = g.c.queries["q"], 0.6 * 2.5 * 0.34 * 8 * 0.85 * window / 290
+        assert part < q.weight
+        times = range(10 * S, 10 * S + 6 * window, window // 10)
+        fits = [g.c._cold_fits(cold, q) for g.c.now in times]
+        sent.append(sum(a != b for a, b in zip(fits, fits[1:], strict=False)))
+        q.weight = 0.06 * 290 * part
+        assert not any(g.c._cold_fits(cold, q) for g.c.now in times)
+    assert 0.2 * 290 < sum(sent) < 2.4 * 290  # changes of mind in six stretches: neither never nor all along
+
+
+def test_attempts_called_off_count_as_slow():
+    """Else only fast answers would be heard of where slow attempts are called off."""
+    g = large()
+    g.ask("a", cost_us=100_000)
+    g.run(200_000)
+    before = g.c.stretch
+    g.end("a", Outcome.CANCELLED, elapsed_us=900_000)
+    assert g.c.stretch > before + 0.05
