Use cold engines first where the guard allows it, and bound sends by our share of answers

While 48 of 80 engines are new, at 14 s: warm n/thr/jam (80, 1949, 43), cold (48, 32, 0), rep warm (0.68, 1.36) cold (0.07, 0.02), st 0.89 that is: 1,949 threads out at the warm engines, 43 of which hold 24 or more, and 32 at all the cold ones, which report 0.07 of their cores busy. At 10 to 12 s 3,419 light queries go to warm engines and 219 to cold ones, though the cold guard would have let 200 gateways send about 33 a second to each. When clients come again, what is sent grows from 700 to 1,700 a second with them. The guard was therefore not what kept the cold engines empty; the choice was.

At fault: Controller._score, which counts a cold engine's work threefold, so that two random candidates seldom end there; Controller._pool_charge, whose mean follows offered work, so that at twice the load, retries included, all gateways together let twice as much out.

Change, in whole slots only: cold engines whose guard allows a query are the candidates, before warm ones; so that they are not swamped, the chance to be allowed one is halved, to about what an engine can do from its first moment. The mean of the limit over all engines is no more than our share of what is answered, the even part at least.

--- a/hollowhitch/policy/control.py
+++ b/hollowhitch/policy/control.py
@@ -125,7 +125,8 @@
     def _pool_charge(self, q: Query) -> tuple[float, float]:
         """Departure: a limit, in threads, of our own over all engines, where our part of one is too small."""
         calm = min(1.0, THREADS / math.exp(max(self.stretch, 0.0)))
-        mean = THREADS * self.cores * self.offered_share * calm * calm
+        # No more than our share of what the engines do: with more offered, by retries too, they do no more.
+        mean = THREADS * self.cores * min(self.offered_share, max(self.share, self.even)) * calm * calm
         limit = max(1.0, mean + math.sqrt(mean))  # arrivals come in clumps, but what all may send adds up
         return limit, self._charge(q, limit, max(1.0, self.steep * limit)) + q.cls.threads - 1
 
@@ -173,9 +174,8 @@
     def _tasks(self, e: EngineTable, r: api.LoadReport) -> float:
         """Threads a core, all gateways'; busy cores stop telling at 1, latency over best goes on."""
         util = r.util or 0.0
-        if r.running is not None:
-            return r.running / e.cores
-        return max(util, math.exp(e.stretch)) if util > BUSY else util
+        tasks = max(util, math.exp(e.stretch)) if util > BUSY else util
+        return tasks if r.running is None else r.running / e.cores
 
     def _pressure(self, e: EngineTable, charge: float = 0.0) -> bool:
         r = self._report(e)
@@ -214,12 +214,10 @@
 
     def _score(self, e: EngineTable, q: Query) -> float:
         own = e.own_work + q.work * (WARM_GAIN if q.data_set in e.warm else 1.0)
-        cold = self.whole and e.info.started_us and self.now < e.info.started_us + self.s.rules.cold_us
-        score = own / e.cores * math.exp(max(e.stretch, 0.0)) / (self.s.rules.start_capacity if cold else 1.0)
+        score = own / e.cores * math.exp(max(e.stretch, 0.0))
         r, away = self._report(e), e.info.zone != self.s.zone
         busy = r.busiest if r else self.busy  # unheard counts as the average of those heard
-        score *= (1 + CROSS_COST * self.s.prices.cross_zone * away) / max(0.1, 1.1 - busy)
-        return score
+        return score * (1 + CROSS_COST * self.s.prices.cross_zone * away) / max(0.1, 1.1 - busy)
 
     def _stands(self, e: EngineTable, q: Query) -> bool:
         """Would q stand still there, behind a load of ours, or behind one that held an attempt of ours up?"""
@@ -263,11 +261,12 @@
         pool = self._apart(q)
         if self.whole:
             # Departure: hardly any engine has own work; where a report shows room, all go. So draw from those
-            # whose answer no send of ours has followed. An engine that stands still, unheard, gets no more.
-            answered = self.answered.since(self.now - FADE_US)
-            spare = [e for e in answered if e in pool and self._may_use(e, q)]
-            if len(spare) > 1:
-                return self.rng.sample(spare, 2)
+            # whose answer no send of ours has followed: who stands still gets no more. Cold ones go first.
+            spare = [e for e in pool if self._cold(e) and self._may_use(e, q)]
+            answered = () if spare else self.answered.since(self.now - FADE_US)
+            spare += [e for e in answered if e in pool and self._may_use(e, q)]
+            if spare:
+                return self.rng.sample(spare, min(2, len(spare)))
         elif q.cls.is_load:  # where none of ours is: else it would stand still, though later than it need
             usable = [e for e in self.open_for[q.ci] if self._may_use(e, q)]
             homes, free = ([e for e in pool if e in usable], [e for e in usable if not self._stands(e, q)])
@@ -527,10 +526,13 @@
 
     # ---- guards of the rules; what the told rules allow of attempts and answers is counted in state.py
 
+    def _cold(self, e: EngineTable) -> bool:
+        return e.info.started_us > 0 and self.now <= e.info.started_us + self.s.rules.cold_us
+
     def _cold_fits(self, e: EngineTable, q: Query) -> bool:
         """Rule 4: a just started engine gets our part of the told budget in any window, on the safe side."""
         r = self.s.rules
-        if not e.info.started_us or self.now > e.info.started_us + r.cold_us or not r.tip_multiple:
+        if not self._cold(e) or not r.tip_multiple:
             return True
         budget = COLD_SAFETY * r.tip_multiple * r.start_capacity * e.cores * CAPACITY * r.tip_after_us
         part, given = budget * self.even, e.given.since(self.now - r.tip_after_us)
@@ -539,7 +541,7 @@
         # Departure: where a part is less than a query, chance grants one: parts add up to the budget still.
         slot = int((self.now - e.info.started_us) / r.tip_after_us + self.s.gateway * self.even)
         e.slot, e.luck = (slot, e.luck if slot == e.slot else self.rng.random())
-        return q.weight * e.luck <= part and q.weight <= COLD_MOST * budget
+        return q.weight * e.luck <= part / 2 and q.weight <= COLD_MOST * budget  # half: about what it can do
 
     def listed(self, ev: api.EngineList, first: bool) -> None:
         """Rule 3: a drain counts at once. Rule 6: each class keeps its own list of engines open to it."""
--- a/tests/test_large_fleet.py
+++ b/tests/test_large_fleet.py
@@ -335,3 +335,26 @@
     before = g.c.stretch
     g.end("a", Outcome.CANCELLED, elapsed_us=900_000)
     assert g.c.stretch > before + 0.05
+
+
+def test_a_cold_engine_that_may_be_used_goes_before_warm_ones():
+    g = large(engine("cold", started_us=9 * S), *(engine(f"e{i}") for i in range(20)))
+    for i in range(5):
+        answers(g, f"a{i}", util=0.1, memory=0.1)
+    cold = g.c.engines["cold"]
+    cold.given.since(g.now + 60 * S)  # nothing was sent there
+    cold.slot, cold.luck = int((g.now - 9 * S) / g.c.s.rules.tip_after_us + 7 / 290), 0.0
+    assert of(api.Send, g.ask())[0].engine == "cold"
+    assert of(api.Send, g.ask())[0].engine != "cold"
+
+
+def test_the_limit_over_all_engines_does_not_grow_with_what_retries_offer():
+    """All engines together do no more for it, and each gateway sees the same flood."""
+    g = large()
+    g.ask("a")
+    g.c.offered_share = g.c.even
+    calm = g.c._pool_charge(g.c.queries["a"])[0]
+    g.c.offered_share = 3 * g.c.even
+    assert g.c._pool_charge(g.c.queries["a"])[0] == pytest.approx(calm)
+    g.c.share = 3 * g.c.even  # ours is the larger part of what is answered: that counts
+    assert g.c._pool_charge(g.c.queries["a"])[0] > 1.5 * calm
