Count cold engines for what they can do in the limit over all engines

At fault: Controller._pool_charge takes all cores told as if they could be used. A cold engine is told to do start_capacity (0.31) of its work, so with half of the engines cold two thirds of the cores are there, and the limit of all gateways together lies half as high again as it should.

--- a/hollowhitch/policy/control.py
+++ b/hollowhitch/policy/control.py
@@ -126,7 +126,7 @@
         """Departure: a limit, in threads, of our own over all engines, where our part of one is too small."""
         calm = min(1.0, THREADS / math.exp(max(self.stretch, 0.0)))
         # No more than our share of what the engines do: with more offered, by retries too, they do no more.
-        mean = THREADS * self.cores * min(self.offered_share, max(self.share, self.even)) * calm * calm
+        mean = THREADS * self.able * min(self.offered_share, max(self.share, self.even)) * calm * calm
         limit = max(1.0, mean + math.sqrt(mean))  # arrivals come in clumps, but what all may send adds up
         return limit, self._charge(q, limit, max(1.0, self.steep * limit)) + q.cls.threads - 1
 
@@ -362,8 +362,9 @@
         self.served = self.offered = 0.0
         share = max(self.share, self.even, self.offered_share if self.whole else 0.0)
         for bucket in self.quotas.values():
-            # Swamped, we carry more of each quota too, and cannot know how much: doubt counts for the tenant.
-            bucket.part = min(1.0, QUOTA_MORE * share)
+            bucket.part = min(1.0, QUOTA_MORE * share)  # swamped, we carry more of each quota too
+        able = self.s.rules.start_capacity or 1.0  # share of its cores that a cold engine is worth
+        self.able = sum(e.cores * (able if self._cold(e) else 1.0) for e in self.engines.values())
         self.rates.smooth(SMOOTH, SWEEP_US)
         for e in () if self.whole else self.engines.values():
             scale = max(1.0, THREADS * e.cores * share) / e.limit
@@ -375,7 +376,6 @@
         seen = 2 * r.util / CAPACITY if r and r.util is not None else 0.0
         tasks = max(seen, math.exp(e.stretch)) if not seen or self._pressure(e) else seen
         waiting = (r.waiting or 0) * self.even / max(len(e.out), 1) if r else 0.0  # a running query
-        # Memory granted, a limit of its own (_admits), would count twice and charge heavy queries all slots.
         e.error += SMOOTH * (tasks - 2 + _memory_error(min(waiting, 1.0)) - e.error)
         # In whole slots few queries meet one engine: the rates are pooled, and scaled to all gateways.
         rates, scale = (self.rates, 1 / (self.even * len(self.engines))) if e.whole else (e, 1.0)
--- a/hollowhitch/policy/state.py
+++ b/hollowhitch/policy/state.py
@@ -354,7 +354,7 @@
         told = [(t.name, t.quota_per_s) for t in settings.tenants]
         self.quotas = {name: TokenBucket(per_s, self.even) for name, per_s in told if per_s}
         self.rates = Rates()  # over all engines, as all that follows
-        self.whole, self.cores = False, 1.0  # any engine in whole slots; cores
+        self.whole, self.cores, self.able = False, 1.0, 1.0  # any engine in whole slots; cores; less the cold
         self.served = self.offered = 0.0  # work since the last sweep
         self.drain = 1e6  # work answered in a second
         self.slots = self.stretch = self.tense = self.best = self.crowd = self.granted = 0.0
@@ -609,7 +609,7 @@
                     tables[info.id].given = known.given
         self.engines = tables
         self.cores = sum(e.cores for e in tables.values()) or 1.0
-        self.whole = any(e.whole for e in tables.values())
+        self.whole, self.able = any(e.whole for e in tables.values()), self.cores
         self.awake = {i: e for i, e in tables.items() if not e.whole or i in self.awake}
         ready = [e for e in tables.values() if e.info.state is api.EngineState.READY]
         self.open_for = [[e for e in ready if allows(c, e.info)] for c in self.s.classes]
--- a/tests/test_large_fleet.py
+++ b/tests/test_large_fleet.py
@@ -358,3 +358,15 @@
     assert g.c._pool_charge(g.c.queries["a"])[0] == pytest.approx(calm)
     g.c.share = 3 * g.c.even  # ours is the larger part of what is answered: that counts
     assert g.c._pool_charge(g.c.queries["a"])[0] > 1.5 * calm
+
+
+def test_cold_engines_count_for_what_they_can_do():
+    g = large(*(engine(f"e{i}", started_us=9 * S if i % 2 else 0) for i in range(30)))
+    g.ask("a")
+    cold = g.c.s.rules.start_capacity
+    g.run(200_000)
+    assert g.c.able == pytest.approx(15 * 8 * (1 + cold))
+    g.now += 15 * S
+    g.do(api.TimerFired(99))
+    g.run(200_000)
+    assert g.c.able == pytest.approx(30 * 8)
