Let turns at cold engines grow with their age, and keep cold ones out of the averages

Cold engines report 0.45 of their cores busy when 4 s old and 0.20 to 0.30 when 8 s old and more, and reports there take 1.1 times their work; warm ones report 0.7, and 0.7 to 1.05 of their memory granted, and take 1.4 to 1.9 times. Turns are filled by half: 2.5 s of work a second for each cold engine, 5 allowed. A query after the first seldom fits what is left of a third. And the average that stands in for engines not heard was 0.55 of memory granted at 13 to 19 s, half of it from cold engines at 0.2: so warm ones at 0.9 that were not heard passed as having room.

At fault: Controller._cold_fits, which grants what an engine can do in its first moment until it is warm; Controller._hear, which averages over warm and cold alike, and _granted and _used, which read the result for both.

Change: two turns at a time, of half the budget each; the budget grows with age by half of a straight way from start_capacity to all, since the way is not told (the told budget has 0.51 of what the rule allows, so that even a step at the very end leaves what is sent within it until 13 s); averages are those of warm engines, and a cold one that is not heard counts as empty, since turns bind there.

--- a/hollowhitch/policy/control.py
+++ b/hollowhitch/policy/control.py
@@ -39,7 +39,7 @@
 QUOTA_MORE, ERROR_TIMES = 1.3, 2.0  # of our part: traffic is never even; others' mean failures, on top
 DRAIN_STEP, DRAIN_LEAST = 0.1, 0.2  # weight of a round in the drain rate; its least, in our even part
 SILENT_US, OVERDUE = 1_000_000, 4.0  # silent: says nothing so long with work this far past its time
-STALL_US, COLD_SAFETY, COLD_TURNS = 300_000, 0.6, 3  # late timer: we stood still; of a cold budget; gateways
+STALL_US, COLD_SAFETY, COLD_TURNS = 300_000, 0.6, 2  # late timer: we stood still; of a cold budget; gateways
 ERROR_SHARE, ERROR_STEP, ILL_MOST = 0.3, 0.15, 0.5  # failures that eject; weight of one; ill: a shared cause
 EJECT_US, EJECT_MOST_US = 2_000_000, 8_000_000  # rest before a trial; doubles while trials fail
 STUCK, STUCK_AIM = 2.0, 0.1  # times its expected time, and share of the aim, after which an attempt is stuck
@@ -144,13 +144,10 @@
 
     def _hear(self, e: EngineTable, report: api.LoadReport | None) -> None:
         e.heard_report(report, self.now)
-        if report is not None and e.whole:  # averages, for the engines not heard
+        if report is not None and e.whole:
             self._wake(e)
-            self.crowd += STEP * (self._tasks(e, report) - self.crowd)
-            self.crowd_at = self.now
-            self.busy += STEP * (report.busiest - self.busy)
-            self.granted += STEP * ((report.memory or 0.0) - self.granted)
-            self.tense += STEP * (self._pressure(e) - self.tense)
+        if report is not None and e.whole and not self._cold(e):  # averages, for the engines not heard
+            self.average(STEP, report, self._tasks(e, report), self._pressure(e))
 
     def _calm(self, e: EngineTable, below: float) -> bool:
         r = self._report(e)
@@ -168,7 +165,8 @@
         if self._full(e):
             return math.inf
         if r is None:  # unheard counts as the average of those heard
-            return e.slots + (self.crowd * e.cores if self.now - self.crowd_at < FRESH_US else 0.0)
+            known = self.now - self.crowd_at < FRESH_US and not self._cold(e)
+            return e.slots + (self.crowd * e.cores if known else 0.0)
         return max(self._tasks(e, r) * e.cores + e.newer, e.slots)
 
     def _tasks(self, e: EngineTable, r: api.LoadReport) -> float:
@@ -206,7 +204,7 @@
 
     def _granted(self, e: EngineTable) -> float:
         """Share of its memory granted, by all: as reported, ever more as the average is."""
-        average = self.granted * math.exp((self.crowd_at - self.now) / FADE_US)
+        average = 0.0 if self._cold(e) else self.granted * math.exp((self.crowd_at - self.now) / FADE_US)
         since = (e.report.memory or 0.0) - average if e.report else 0.0
         return average + since * math.exp((e.report_at - self.now) / FADE_US)
 
@@ -533,12 +531,14 @@
         if not self._cold(e):
             return True
         r, turn = self.s.rules, 1.0
-        part = COLD_SAFETY * r.tip_multiple * r.start_capacity * e.cores * CAPACITY * r.tip_after_us
+        age = self.now - e.info.started_us  # how it warms up is not told: half of a straight way is taken
+        able = r.start_capacity + (1 - r.start_capacity) / 2 * age / r.cold_us
+        part = COLD_SAFETY * r.tip_multiple * able * e.cores * CAPACITY * r.tip_after_us
         part *= 1 / COLD_TURNS if e.whole else self.even
         if e.whole:
             # Departure: where an even part is less than a query, a few have turns, as long as a window and
             # drawn alike by all. What is more than a turn's part, twice at most, takes luck in that draw.
-            n = int((self.now - e.info.started_us) * COLD_TURNS / max(r.tip_after_us, 1))
+            n = int(age * COLD_TURNS / max(r.tip_after_us, 1))
             turn = e.turn(range(n - COLD_TURNS, n), self.gateways, self.s.gateway)
         given = e.given.since(self.now - r.tip_after_us)
         return turn <= 1 and given + q.weight * (1 if given else max(turn, 0.5)) <= part
--- a/hollowhitch/policy/state.py
+++ b/hollowhitch/policy/state.py
@@ -417,6 +417,15 @@
         """Offer what is held, to one engine or all."""
         raise NotImplementedError
 
+    # Averages over the engines heard
+
+    def average(self, weight: float, report: api.LoadReport, tasks: float, tense: bool) -> None:
+        self.crowd += weight * (tasks - self.crowd)
+        self.busy += weight * (report.busiest - self.busy)
+        self.granted += weight * ((report.memory or 0.0) - self.granted)
+        self.tense += weight * (tense - self.tense)
+        self.crowd_at = self.now
+
     # What the told rules allow
 
     def may_refuse(self, q: Query) -> bool:
