Bound connections to all engines together, and choose engines from sets, not lists

Seen by reading: each of them might have two connections and more, sized as if there were 16 (config.py), and nothing bounded all together, so that 400 in use pass `limits.sockets` of 512 to 672; the dial that then meets EMFILE counted against the engine it was for.

Ruled out by reading: caps on lists of engines or gateways in settings, configuration, channel, adapter and module; there is none (a line of the channel may have 4 MB, about 20,000 engines).

Change: EnginePools.make_room has one bound for all, the quarter of the descriptors that config always set aside; a connection that is needed takes the place of the one unused for longest. Where all are in use the attempt ends as MOOT (never sent), and so does a dial that meets EMFILE.

--- a/hollowhitch/config.py
+++ b/hollowhitch/config.py
@@ -25,7 +25,8 @@
     "settings.bounds.maxOpen": 20_000,
 }
 SPARE_SOCKETS = 24  # of the limit, a quarter at most: for the log, the loop, the listener, the channel
-ENGINES_SHARE, ENGINES_MOST = 0.25, 16  # of the limit, for connections to so many engines
+ENGINES_SHARE = 0.25  # of the limit, for connections to all engines together, however many
+ENGINES_FEW = 16  # of that, for one: with more engines than this they share what there is
 SOCKETS_LEAST = 32
 OWN_MB, REST_LEAST_MB = 20, 4  # what the program takes by itself, measured; what is taken to be left at least
 HELD_SHARE, HELD_MOST = 0.5, 32 << 20  # of the rest: statements, half-read frames, unwritten answers; bytes
@@ -47,6 +48,7 @@
     open_most: int
     clients_most: int  # client connections
     engine_sockets_most: int  # connections to one engine
+    engines_sockets_most: int  # connections to all engines together
     held_most: int  # bytes held for clients
 
 
@@ -115,7 +117,8 @@
         streams_per_connection=_count(bounds, "streamsPerConn"),
         open_most=min(_count(bounds, "maxOpen"), held // QUERY_BYTES),
         clients_most=sockets - for_engines - min(SPARE_SOCKETS, sockets // 4),
-        engine_sockets_most=max(2, for_engines // ENGINES_MOST),  # and two more for a while
+        engine_sockets_most=max(2, for_engines // ENGINES_FEW),  # and two more for a while
+        engines_sockets_most=for_engines,
         held_most=held,
     )
 
--- a/hollowhitch/net/engines.py
+++ b/hollowhitch/net/engines.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import contextlib
+import errno
 import functools
 from collections import deque
 from collections.abc import Mapping
@@ -25,6 +26,7 @@
 ALONE_MORE = 2  # connections to an engine over the usual number, for queries on which one has broken
 CARE_US = 100_000  # between looks for connections that have stopped
 AMID_US, SILENT_US, OVERDUE = 500_000, 3_000_000, 4  # an answer that stops short; silent; times the estimate
+OURS = (errno.EMFILE, errno.ENFILE, errno.ENOBUFS)  # a dial that failed for want of something here, not there
 TOLD_S = 0.004  # a STOP is on its way this long before a further attempt may leave
 
 
@@ -138,6 +140,10 @@
         if attempt is not None:
             owner.gateway.ended(attempt, outcome, report, body)
 
+    @property
+    def unused(self) -> bool:
+        return not self.attempts and not self.probes
+
     def look_after(self, now: int) -> None:
         """Guards what is on it against an answer that stops short or never comes: nothing follows it here."""
         quiet = now - self.heard_us
@@ -195,13 +201,14 @@
         best = min(fit, key=lambda c: (c.suspect, len(c.attempts)), default=None)
         if best is not None:
             best.send(attempt)
-        elif full:
-            self.owner.gateway.ended(attempt, Outcome.CONNECT_FAILED)
-        else:
-            self.waiting.append(attempt)
-        if not self.dialing and not full and (best is None or best.suspect or len(best.attempts) > SHARED):
+        another = best is None or best.suspect or len(best.attempts) > SHARED
+        if another and not full and not self.dialing and self.owner.make_room(needed=best is None):
             self.dialing = True
             gevent.spawn(self._dial)
+        if best is None and self.dialing and not full:
+            self.waiting.append(attempt)
+        elif best is None:  # where all engines' places are in use, nothing speaks against this one
+            self.owner.gateway.ended(attempt, Outcome.CONNECT_FAILED if full else Outcome.MOOT)
 
     def _dial(self) -> None:
         address = self.address
@@ -210,9 +217,10 @@
         except OSError as e:
             say("engine", f"{self.id}: connect: {e}")
             self.dialing = False
+            outcome = Outcome.MOOT if e.errno in OURS else Outcome.CONNECT_FAILED
             waiting, self.waiting = self.waiting, deque()
             for attempt in waiting:
-                self.owner.gateway.ended(attempt, Outcome.CONNECT_FAILED)
+                self.owner.gateway.ended(attempt, outcome)
             return
         self.dialing = False
         sock.settimeout(None)
@@ -239,9 +247,8 @@
     def close_idle(self, idle_us: int) -> None:
         now = self.owner.clock.now_us()
         for connection in list(self.connections):
-            unused = not connection.attempts and not connection.probes
             dead = not self.ready or connection.retired or connection.suspect
-            if unused and (dead or now - connection.used_us >= idle_us):
+            if connection.unused and (dead or now - connection.used_us >= idle_us):
                 connection.close("")
 
 
@@ -254,6 +261,21 @@
         self.pools: dict[str, Pool] = {}
         self._tags = 0
 
+    @property
+    def sockets(self) -> int:
+        return sum(len(pool.connections) + pool.dialing for pool in self.pools.values())
+
+    def make_room(self, needed: bool) -> bool:
+        """May one more be dialed? All engines share one bound. Where it is reached and the dial is needed,
+        the connection unused for longest gives way, whichever engine it leads to."""
+        if self.sockets < self.config.engines_sockets_most:
+            return True
+        unused = (c for pool in self.pools.values() for c in pool.connections if c.unused) if needed else ()
+        if (oldest := min(unused, key=lambda c: c.used_us, default=None)) is None:
+            return False
+        oldest.close("")
+        return True
+
     def start(self, attempt: Attempt) -> None:
         pool = self.pools.get(attempt.engine)
         if pool is None or not pool.ready:
--- a/hollowhitch/policy/control.py
+++ b/hollowhitch/policy/control.py
@@ -55,7 +55,8 @@
         super().__init__(settings, seed, SAMPLE, REBIN)
         self.classes = [ClassTable(c.aim_us * FIRST_WORK) for c in settings.classes]
         self.answered = Answered()
-        self.apart: dict[tuple[int, int], list[EngineTable]] = {}  # by class and data set
+        self.apart: dict[tuple[int, int], dict[EngineTable, None]] = {}  # by class and data set
+        self.ours: list[EngineTable] = []  # cold engines with which we have a turn
 
     def handle(self, now_us: int, event: api.Event) -> list[api.Action]:
         # Danger: we stood still, and find at once what came meanwhile. No latency is read for a round.
@@ -146,7 +147,7 @@
         e.heard_report(report, self.now)
         if report is not None and e.whole:
             self._wake(e)
-        if report is not None and e.whole and not self._cold(e):  # averages, for the engines not heard
+        if report is not None and e.whole and not self.cold(e):  # averages, for the engines not heard
             self.average(STEP, report, self._tasks(e, report), self._pressure(e))
 
     def _calm(self, e: EngineTable, below: float) -> bool:
@@ -165,8 +166,7 @@
         if self._full(e):
             return math.inf
         if r is None:  # unheard counts as the average of those heard
-            known = self.now - self.crowd_at < FRESH_US and not self._cold(e)
-            return e.slots + (self.crowd * e.cores if known else 0.0)
+            return e.slots + self.crowd * e.cores * (self.now - self.crowd_at < FRESH_US and not self.cold(e))
         return max(self._tasks(e, r) * e.cores + e.newer, e.slots)
 
     def _tasks(self, e: EngineTable, r: api.LoadReport) -> float:
@@ -204,7 +204,7 @@
 
     def _granted(self, e: EngineTable) -> float:
         """Share of its memory granted, by all: as reported, ever more as the average is."""
-        average = 0.0 if self._cold(e) else self.granted * math.exp((self.crowd_at - self.now) / FADE_US)
+        average = 0.0 if self.cold(e) else self.granted * math.exp((self.crowd_at - self.now) / FADE_US)
         since = (e.report.memory or 0.0) - average if e.report else 0.0
         return average + since * math.exp((e.report_at - self.now) / FADE_US)
 
@@ -229,19 +229,19 @@
             return False
         pool, apart = self.open_for[q.ci], self._apart(q)
         if not self._pool_fits(q):  # which a turn with a cold engine is no part of
-            pool = [e for e in pool if self._cold(e)]
+            pool = {e: None for e in self.ours if e in pool}
         if only is not None:
             pool = [only] if only in pool and only in apart else []
         for some in (q.two, apart, pool) if only is None else (pool,):
             if len(some) > TRIES:
-                some = self.rng.sample(some, TRIES)
+                some = self.rng.sample(list(some), TRIES)
             fit = [e for e in some if e in pool and self._may_use(e, q) and self._admits(e, q)]
             fit = [e for e in fit if not self._stands(e, q)]  # held, it takes the first that gets free
             if fit:  # of two: to the least busy of many all gateways go at once
                 return self._send(q, min(fit[:2] if self.whole else fit, key=lambda e: self._score(e, q)))
         return False
 
-    def _apart(self, q: Query) -> list[EngineTable]:
+    def _apart(self, q: Query) -> dict[EngineTable, None]:
         """Departure: what stands still behind a load is late, and other gateways' loads are not told. So all
         send the loads of a data set to the same half of the engines, and what waits for loads to the rest."""
         pool = self.open_for[q.ci]
@@ -254,7 +254,7 @@
             half = len(pool) // 2
             first = self.s.gateway % half  # each begins with another, so that their loads seldom meet
             homes = ranked[first:half] + ranked[:first]
-            self.apart[q.ci, q.data_set] = homes if q.cls.is_load else ranked[half:]
+            self.apart[q.ci, q.data_set] = dict.fromkeys(homes if q.cls.is_load else ranked[half:])
         return self.apart[q.ci, q.data_set]
 
     def _draw(self, q: Query) -> list[EngineTable]:
@@ -262,7 +262,7 @@
         if self.whole:
             # Departure: hardly any engine has own work; where a report shows room, all go. So draw from those
             # whose answer no send of ours has followed: who stands still gets no more. Cold ones go first.
-            spare = [e for e in pool if self._cold(e) and self._may_use(e, q)]
+            spare = [e for e in self.ours if e in pool and self._may_use(e, q)]
             answered = () if spare else self.answered.since(self.now - FADE_US)
             spare += [e for e in answered if e in pool and self._may_use(e, q)]
             if spare:
@@ -271,11 +271,11 @@
             usable = [e for e in self.open_for[q.ci] if self._may_use(e, q)]
             homes, free = ([e for e in pool if e in usable], [e for e in usable if not self._stands(e, q)])
             return ([e for e in homes if e in free] or free or homes)[:2]
-        some = [e for e in self.rng.sample(pool, min(DRAWS, len(pool))) if self._may_use(e, q)]
+        some = [e for e in self.rng.sample(list(pool), min(DRAWS, len(pool))) if self._may_use(e, q)]
         return some[:2] if len(some) > 1 else [e for e in pool if self._may_use(e, q)][:2]
 
     def _send(self, q: Query, e: EngineTable) -> bool:
-        charges = self._charge(q, e.limit, e.big), 0.0 if self._cold(e) else self._pool_charge(q)[1]
+        charges = self._charge(q, e.limit, e.big), 0.0 if self.cold(e) else self._pool_charge(q)[1]
         a = self.book(q, Attempt(q, len(q.attempts), e, self.now, *charges, q.work))
         self._wake(e)
         self.answered.use(e)
@@ -312,7 +312,7 @@
         if not turn:
             self.wake(q.key)
         elif self.open_for[q.ci]:  # every held arrival counts, behind an older one too
-            self.held_at(self.rng.choice(self.open_for[q.ci]))
+            self.held_at(self.rng.choice(list(self.open_for[q.ci])))
         # Danger: held work that ages together is all answered late. Catches any lasting overload: what earns
         # least for its work is refused first; hurts where estimates are reversed. A small part keeps one.
         patience = FEW_PATIENCE if self.whole else PATIENCE
@@ -363,8 +363,7 @@
         share = max(self.share, self.even, self.offered_share if self.whole else 0.0)
         for bucket in self.quotas.values():
             bucket.part = min(1.0, QUOTA_MORE * share)  # swamped, we carry more of each quota too
-        ready = (e for e in self.engines.values() if e.info.state is api.EngineState.READY)
-        self.able = sum(e.cores for e in ready if not self._cold(e))  # a cold one has a limit of its own
+        self._take_turns()
         self.rates.smooth(SMOOTH, SWEEP_US)
         for e in () if self.whole else self.engines.values():
             scale = max(1.0, THREADS * e.cores * share) / e.limit
@@ -449,7 +448,7 @@
         if q.cls.waits_for_loads:
             self._mark(a.engine, q.data_set)
         ends = q.expires if self.now > q.aim and q.cls.late_share else q.aim
-        others = [e for e in self._apart(q) if e is not a.engine and self._may_use(e, q)]
+        others = (e for e in self._apart(q) if e is not a.engine and self._may_use(e, q))
         if fresh < ends and any(self._admits(e, q) and not self._stands(e, q) for e in others):
             self._call_off(q, a.n)
 
@@ -460,8 +459,7 @@
         e.locked[data_set] = self.now + LOCKED * max(usual, default=0)
 
     def _call_off(self, q: Query, n: int) -> None:
-        may = not q.done and q.cls.effect is Effect.SAFE and self.budget_left()
-        if may and len(q.attempts) < self.s.limits.max_attempts:
+        if self.may_repeat(q):
             self.cancel(q, q.attempts[n])
 
     def noted(self, q: Query, a: Attempt, ev: api.Note) -> None:
@@ -523,26 +521,28 @@
 
     # ---- guards of the rules; what the told rules allow of attempts and answers is counted in state.py
 
-    def _cold(self, e: EngineTable) -> bool:
-        return self.s.rules.tip_multiple > 0 and e.info.started_us > max(self.now - self.s.rules.cold_us, 0)
-
     def _cold_fits(self, e: EngineTable, q: Query) -> bool:
         """Rule 4: a just started engine gets our part of the told budget in any window, on the safe side."""
-        if not self._cold(e):
+        if not self.cold(e):
             return True
-        r, turn = self.s.rules, 1.0
+        r = self.s.rules
         age = self.now - e.info.started_us  # how it warms up is not told: half of a straight way is taken
         able = r.start_capacity + (1 - r.start_capacity) / 2 * age / r.cold_us
         part = COLD_SAFETY * r.tip_multiple * able * e.cores * CAPACITY * r.tip_after_us
         part *= 1 / COLD_TURNS if e.whole else self.even
-        if e.whole:
-            # Departure: where an even part is less than a query, a few have turns, as long as a window and
-            # drawn alike by all. What is more than a turn's part, twice at most, takes luck in that draw.
-            n = int(age * COLD_TURNS / max(r.tip_after_us, 1))
-            turn = e.turn(range(n - COLD_TURNS, n), self.gateways, self.s.gateway)
-        given = e.given.since(self.now - r.tip_after_us)
+        given, turn = e.given.since(self.now - r.tip_after_us), self._turn(e) if e.whole else 1.0
         return turn <= 1 and given + q.weight * (1 if given else max(turn, 0.5)) <= part
 
+    def _turn(self, e: EngineTable) -> float:
+        """Departure: where an even part is less than a query, a few have turns, as long as a window and drawn
+        alike by all. What is more than a turn's part, twice at most, takes luck in that draw."""
+        n = int((self.now - e.info.started_us) * COLD_TURNS / max(self.s.rules.tip_after_us, 1))
+        return e.turn(range(n - COLD_TURNS, n), self.gateways, self.s.gateway)
+
+    def _take_turns(self) -> None:
+        self.part_cold()
+        self.ours = [e for e in self.fresh if e.whole and self._turn(e) <= 1]
+
     def listed(self, ev: api.EngineList, first: bool) -> None:
         """Rule 3: a drain counts at once. Rule 6: each class keeps its own list of engines open to it."""
         if first:
@@ -551,6 +551,7 @@
             self.agenda.add(self.now + (0 if first else ASK_US), self.act, api.Subscribe())
         self.relist(ev)
         self.apart.clear()
+        self._take_turns()
         self._judge_pool()
         self.pump()
 
--- a/hollowhitch/policy/state.py
+++ b/hollowhitch/policy/state.py
@@ -354,7 +354,7 @@
         self.class_index = {c.name: i for i, c in enumerate(settings.classes)}
         self.engines: dict[str, EngineTable] = {}
         self.awake: dict[str, EngineTable] = {}  # those that are swept
-        self.open_for: list[list[EngineTable]] = [[] for _ in settings.classes]
+        self.open_for: list[dict[EngineTable, None]] = [{} for _ in settings.classes]  # sets, but in order
         self.queries: dict[str, Query] = {}
         self.held, self.lines, self.agenda = HeldQueries(), KeyLines(), Agenda()
         self.taken, self.extra = (Window(settings.rules.budget_window_us) for _ in range(2))
@@ -365,6 +365,7 @@
         self.quotas = {name: TokenBucket(per_s, self.even) for name, per_s in told if per_s}
         self.rates = Rates()  # over all engines, as all that follows
         self.whole, self.cores, self.able = False, 1.0, 1.0  # any engine in whole slots; cores; less the cold
+        self.fresh: list[EngineTable] = []  # the cold ones of those that are ready
         self.served = self.offered = 0.0  # work since the last sweep
         self.drain = 1e6  # work answered in a second
         self.slots = self.stretch = self.tense = self.best = self.crowd = self.granted = 0.0
@@ -444,6 +445,21 @@
         stale = not self.subscribed and self.now - (self.listed_at or 0) > (self.s.rules.must_ask_us or 0)
         return ever or (not stale and self.lines.turn(q, self.now) and (not q.attempts or self.budget_left()))
 
+    def may_repeat(self, q: Query) -> bool:
+        """May what is out be called off for another attempt?"""
+        left = not q.done and len(q.attempts) < self.s.limits.max_attempts
+        return left and q.cls.effect is api.Effect.SAFE and self.budget_left()
+
+    def cold(self, e: EngineTable) -> bool:
+        """Rule 4: is it so new that what it is sent is limited?"""
+        return self.s.rules.tip_multiple > 0 and e.info.started_us > max(self.now - self.s.rules.cold_us, 0)
+
+    def part_cold(self) -> None:
+        """Part the cold ones of the ready engines from those that the limit over all is for."""
+        ready = [e for e in self.engines.values() if e.info.state is api.EngineState.READY]
+        self.fresh = [e for e in ready if self.cold(e)]
+        self.able = sum(e.cores for e in ready) - sum(e.cores for e in self.fresh)
+
     def budget_left(self) -> bool:
         """Rule 7: further attempts of the rolling window stay within the free few plus the share."""
         r = self.s.rules
@@ -631,7 +647,7 @@
         self.whole, self.able = any(e.whole for e in tables.values()), self.cores
         self.awake = {i: e for i, e in tables.items() if not e.whole or i in self.awake}
         ready = [e for e in tables.values() if e.info.state is api.EngineState.READY]
-        self.open_for = [[e for e in ready if allows(c, e.info)] for c in self.s.classes]
+        self.open_for = [{e: None for e in ready if allows(c, e.info)} for c in self.s.classes]
 
 
 def allows(c: api.QueryClass, engine: api.Engine) -> bool:
--- a/tests/test_large_fleet.py
+++ b/tests/test_large_fleet.py
@@ -377,6 +377,7 @@
     cold.given.since(g.now + 60 * S)  # nothing was sent there
     others = of(api.Send, g.ask())[0].engine
     cold.draw = 0.0  # ours is a turn after all
+    g.c._take_turns()
     assert others != "cold" and of(api.Send, g.ask(cost_us=0.9 * turn_of(S)))[0].engine == "cold"
     assert of(api.Send, g.ask(cost_us=0.9 * turn_of(S)))[0].engine != "cold"
 
@@ -387,6 +388,7 @@
     g.c.tense = g.c.stretch = g.c.busy = 1.0
     before = g.c.slots
     g.c.engines["cold"].draw = 0.0
+    g.c._take_turns()
     assert of(api.Send, g.ask(cost_us=0.9 * turn_of(S)))[0].engine == "cold"
     assert g.c.slots == before
     assert not of(api.Send, g.ask(cost_us=0.9 * turn_of(S)))
