Close no engine connection for another while a STOP waits to be written on it

Seen by reading: make_room took any connection without an attempt, and give_up leaves one so while its STOP still waits in the outbox; closed then, the STOP would be lost, and the engine told by the close alone. At fault: EnginePools.make_room, which did not ask the outbox. Change: it takes only those with nothing left to write.

--- a/hollowhitch/net/engines.py
+++ b/hollowhitch/net/engines.py
@@ -270,7 +270,8 @@
         the connection unused for longest gives way, whichever engine it leads to."""
         if self.sockets < self.config.engines_sockets_most:
             return True
-        unused = (c for pool in self.pools.values() for c in pool.connections if c.unused) if needed else ()
+        open_ = [c for pool in self.pools.values() for c in pool.connections] if needed else []
+        unused = (c for c in open_ if c.unused and c.outbox.idle)  # a STOP may be on its way out
         if (oldest := min(unused, key=lambda c: c.used_us, default=None)) is None:
             return False
         oldest.close("")
--- a/tests/test_size.py
+++ b/tests/test_size.py
@@ -127,6 +127,26 @@
     proxy.front.stop_listening()
 
 
+@pytest.mark.usefixtures("time_limit")
+def test_a_connection_with_a_stop_to_write_gives_no_way():
+    engine = Engine(rows)
+    proxy = proxy_of(*(boot.member(f"e{i}", engine.port) for i in range(60)), sockets=32)
+    client, pools = Client(proxy), proxy.pools
+    for turn in range(1, 31):
+        client.ask(turn, ref=f"{turn:016x}")
+        assert client.answer()[1] == frames.SERVED
+    connections = [c for pool in pools.pools.values() for c in pool.connections]
+    assert len(connections) == pools.config.engines_sockets_most == 8
+    for connection in connections:
+        connection.outbox.put(b"")
+    assert not pools.make_room(needed=True) and not any(c.closed for c in connections)
+    while not all(c.outbox.idle for c in connections):
+        gevent.sleep(0)
+    assert not pools.make_room(needed=False)
+    assert pools.make_room(needed=True) and pools.sockets == 7
+    proxy.front.stop_listening()
+
+
 @pytest.mark.usefixtures("time_limit")
 def test_nothing_is_left_behind_of_engines_that_were_replaced():
     engine = Engine(rows)
