Give memory only where a fresh report shows it, and let light queries pass heavy ones

At fault: control.py, _memory_fits and _granted (an average, for an engine that is silent because it pages; no check at all where nothing of ours is out), _pool_fits (one limit for all), _pool_charge (a whole deviation). Now an engine without a report of the last 2 s gets a quarter of the average room, or queries of the least memory; the lightest cost class may go to twice the limit; half a deviation is added to it.

--- a/hollowhitch/policy/control.py
+++ b/hollowhitch/policy/control.py
@@ -23,6 +23,7 @@
 SHARE_STEP, OFFERED_STEP = 0.05, 0.03  # weight of a round in our share of answered and of offered work
 BUSY, CALM, IDLE = 0.93, 0.8, 0.6  # a reported share above this is pressure; below: room; no contention
 THREADS = 1.5  # a core's threads at the limit: some always wait for disks; past this work is lost
+CLUMPS, LIGHT_MORE, UNHEARD = 0.5, 2.0, 0.25  # in that limit: deviations, times; of room, where not heard
 FEW_SLOTS = 2.0  # a smaller part of an engine than this is counted in the engine's whole slots
 TENSE, TENSE_STRETCH = 0.25, math.log(2.0)  # share of reports under pressure, latency over best: all are full
 CROWD, CALM_CROWD = 1.3, 3.0  # own slots over the limit that foretell latency far above best
@@ -128,7 +129,7 @@
         calm = min(1.0, THREADS / math.exp(max(self.stretch, 0.0)))
         # No more than our share of what the engines do: with more offered, by retries too, they do no more.
         mean = THREADS * self.able * min(self.offered_share, max(self.share, self.even)) * calm * calm
-        limit = max(1.0, mean + math.sqrt(mean))  # arrivals come in clumps, but what all may send adds up
+        limit = max(1.0, mean + CLUMPS * math.sqrt(mean))  # not all: under pressure all have clumps at once
         return limit, self._charge(q, limit, max(1.0, self.steep * limit)) + q.cls.threads - 1
 
     def _pool_fits(self, q: Query) -> bool:
@@ -138,7 +139,8 @@
         if not self.whole or not self.slots or signs < (2 if self.s.limits.probes else 1):
             return True
         limit, charge = self._pool_charge(q)
-        return self.slots + charge <= limit
+        # The lightest are a quarter of the work and most of the queries: they wait for no heavy ones.
+        return self.slots + charge <= limit * (1.0 if q.bins[0] else LIGHT_MORE)
 
     def _report(self, e: EngineTable) -> api.LoadReport | None:
         return e.report if self.now - e.report_at < FRESH_US else None
@@ -197,16 +199,14 @@
         return r.memory * e.memory + e.newly_granted / self.even + q.grant <= MEMORY_MOST * e.memory
 
     def _memory_fits(self, e: EngineTable, q: Query) -> bool:
-        """Departure: hardly any of many gateways has work at an engine. Its report binds even so."""
-        if not e.memory or q.grant <= 0 or not self.slots:  # one query may always be out, or nothing is heard
+        """Departure: hardly any of many gateways has work at an engine. Its report binds even so. One that is
+        not heard may page, and answer nobody for that: only what hardly matters goes there, to hear of it."""
+        if not e.memory or q.grant <= 0 or len(self.queries) == self.held.count:  # one may always be out
             return True
-        return self._granted(e) * e.memory + e.newly_granted + q.grant <= MEMORY_MOST * e.memory
-
-    def _granted(self, e: EngineTable) -> float:
-        """Share of its memory granted, by all: as reported, ever more as the average is."""
-        average = 0.0 if self.cold(e) else self.granted * math.exp((self.crowd_at - self.now) / FADE_US)
-        since = (e.report.memory or 0.0) - average if e.report else 0.0
-        return average + since * math.exp((e.report_at - self.now) / FADE_US)
+        r = self._report(e)
+        granted = r.memory or 0.0 if r else 0.0 if self.cold(e) else self.granted
+        room = (MEMORY_MOST - granted) * e.memory - e.newly_granted
+        return q.grant <= room if r else not q.bins[1] or q.grant <= UNHEARD * room
 
     # ---- route: of two random ready engines, the one with less estimated own work
 
@@ -426,11 +426,10 @@
         if not self.s.limits.probes:  # reports come with answers only: work out long is the first sign
             self.stretch += STRETCH_STEP * max(late - self.stretch, 0) / len(self.awake)
         (_, n), q = next(iter(e.out.items()))
-        if self.now - e.heard < SILENT_US or self.now - q.attempts[n].sent < self._overdue_us(q):
-            return
-        self._eject(e)
-        for (_, n), q in () if self.all_ill else list(e.out.items()):
-            self._call_off(q, n)
+        if self.now - e.heard >= SILENT_US and self.now - q.attempts[n].sent >= self._overdue_us(q):
+            self._eject(e)
+            for (_, n), q in () if self.all_ill else list(e.out.items()):
+                self._call_off(q, n)
 
     def _patience_us(self, q: Query, e: EngineTable) -> float:
         return STUCK * q.work / q.cls.threads * math.exp(max(e.stretch, 0.0)) + STUCK_AIM * q.cls.aim_us
