Draw candidates from the newest answers, then from engines heard, with few scouts

Ruled out: memory and cores in the report (0.05 to 0.12 over their whole range, where it is fresh). At fault: control.py, _draw: any answer of the last 4 s, at random, and without one two of all engines. Now two of the newest eight; without one, two of those with a report of the last 2 s; but one light query in ten that finds no unused answer draws from all, or an engine that is well again would be found by nobody.

--- a/hollowhitch/policy/control.py
+++ b/hollowhitch/policy/control.py
@@ -23,7 +23,7 @@
 SHARE_STEP, OFFERED_STEP = 0.05, 0.03  # weight of a round in our share of answered and of offered work
 BUSY, CALM, IDLE = 0.93, 0.8, 0.6  # a reported share above this is pressure; below: room; no contention
 THREADS = 1.5  # a core's threads at the limit: some always wait for disks; past this work is lost
-CLUMPS, LIGHT_MORE, UNHEARD = 0.5, 2.0, 0.25  # in that limit: deviations, times; of room, where not heard
+CLUMPS, LIGHT_MORE, UNHEARD = 0.5, 2.0, 0.25  # deviations in a limit; times it, if light; of room, unheard
 FEW_SLOTS = 2.0  # a smaller part of an engine than this is counted in the engine's whole slots
 TENSE, TENSE_STRETCH = 0.25, math.log(2.0)  # share of reports under pressure, latency over best: all are full
 CROWD, CALM_CROWD = 1.3, 3.0  # own slots over the limit that foretell latency far above best
@@ -35,6 +35,7 @@
 CROSS_COST, FADE_US = 10.0, 4_000_000  # a zone crossed, times its price; a report fades as queries end
 PARTED, SETS_MOST = 3, 256  # engines from which on loads are kept apart; data sets whose parts are kept
 DRAWS, TRIES = 6, 12  # engines drawn to find two candidates; looked at where these do not take a query
+NEWEST, SCOUTS = 8, 0.1  # answers drawn from; lightest queries that, with none left, go to any engine
 QUOTA_US, FEW_QUOTA_US = 1_000_000, 15_000_000  # slack of a tenant's quota; where our part is a few queries
 PATIENCE, FEW_PATIENCE = 0.5, 2.0  # of the time to spare that held work may take; where our part is small
 QUOTA_MORE, ERROR_TIMES = 1.3, 2.0  # of our part: traffic is never even; others' mean failures, on top
@@ -139,7 +140,6 @@
         if not self.whole or not self.slots or signs < (2 if self.s.limits.probes else 1):
             return True
         limit, charge = self._pool_charge(q)
-        # The lightest are a quarter of the work and most of the queries: they wait for no heavy ones.
         return self.slots + charge <= limit * (1.0 if q.bins[0] else LIGHT_MORE)
 
     def _report(self, e: EngineTable) -> api.LoadReport | None:
@@ -262,11 +262,11 @@
         if self.whole:
             # Departure: hardly any engine has own work; where a report shows room, all go. So draw from those
             # whose answer no send of ours has followed: who stands still gets no more. Cold ones go first.
-            spare = [e for e in self.ours if e in pool and self._may_use(e, q)]
-            answered = () if spare else self.answered.since(self.now - FADE_US)
-            spare += [e for e in answered if e in pool and self._may_use(e, q)]
-            if spare:
-                return self.rng.sample(spare, min(2, len(spare)))
+            scout = not q.bins[0] and self.rng.random() < SCOUTS  # or nobody finds who is well again
+            heard = [e for e in self.awake.values() if self._report(e) and not scout]
+            for some in (self.ours, self.answered.since(self.now - FADE_US)[:NEWEST], heard):
+                if fit := [e for e in some if e in pool and self._may_use(e, q)]:
+                    return self.rng.sample(fit, min(2, len(fit)))
         elif q.cls.is_load:  # where none of ours is: else it would stand still, though later than it need
             usable = [e for e in self.open_for[q.ci] if self._may_use(e, q)]
             homes, free = ([e for e in pool if e in usable], [e for e in usable if not self._stands(e, q)])
--- a/hollowhitch/policy/state.py
+++ b/hollowhitch/policy/state.py
@@ -190,10 +190,10 @@
             self.entries.remove(entry)
 
     def since(self, edge: int) -> list[EngineTable]:
-        """Each once, in the order of its oldest answer; what is older than `edge` is forgotten."""
+        """Each once, the newest answer first; what is older than `edge` is forgotten."""
         while self.entries and self.entries[0][0] < edge:
             self.entries.popleft()
-        return list({e.info.id: e for _, e in self.entries}.values())
+        return list({e.info.id: e for _, e in reversed(self.entries)}.values())
 
 
 class Window:
--- a/tests/test_large_fleet.py
+++ b/tests/test_large_fleet.py
@@ -132,6 +132,25 @@
     assert not g.c._memory_fits(e, queries["heavy"]) and g.c._memory_fits(e, queries["light"])
 
 
+def test_candidates_are_the_last_to_have_answered_and_a_silent_engine_is_found_again():
+    g = large()
+    teach(g)
+    g.now += 10 * S
+    g.do(api.TimerFired(99))
+    e1, e2 = g.c.engines["e1"], g.c.engines["e2"]
+    for e in (e1, e2):
+        hear(g, e.info.id, util=0.3, memory=0.3)
+    asked = g.ask("a", cost_us=1_000, memory_mb=1.0)
+    q = g.c.queries["a"]
+    drawn = [{e.info.id for e in g.c._draw(q)} for _ in range(400)]
+    others = sum(not names <= {"e1", "e2"} for names in drawn)
+    assert of(api.Send, asked) and 0 < others < 100  # a tenth, as scouts
+    q.bins = (1, 0)  # no heavy one is a scout
+    assert all({e.info.id for e in g.c._draw(q)} <= {"e1", "e2"} for _ in range(100))
+    g.c.answered.add(g.now, g.c.engines["e3"])
+    assert all(g.c._draw(q) == [g.c.engines["e3"]] for _ in range(20))
+
+
 @pytest.mark.parametrize("gateways,threads", [(40, 1.8), (290, 2.2)])
 def test_what_all_gateways_may_send_at_once_stays_by_the_knee(gateways, threads):
     g = large(gateways=gateways)
