Draw the channel's pauses by each proxy's seed; read all prices; tell want of room from illness

Now up to half of each pause is taken off, by the proxy's seed; it never grows; - settings.py: deductions.handshake, connection and discovery are read; a price that is no number, negative or infinite ends the start with its key named, a missing one is 0. Nothing is decided by them yet; - control.py, account: a connect refused while the engine answers (a report of the last 2 s) and has other work of ours out is no failure: it has no room. Where nothing was heard or nothing is out, it counts as before.

--- a/hollowhitch/__main__.py
+++ b/hollowhitch/__main__.py
@@ -40,7 +40,7 @@
         self.gateway = Gateway(config.settings, config.seed, self.pools, timers.later, self.clock)
         self.pools.gateway = self.gateway
         self.front = Front(config, self.gateway)
-        self.channel = ChannelFollower(config.cursor, self.apply)
+        self.channel = ChannelFollower(config.cursor, self.apply, config.seed)
         self.end = Event()  # set to end in order
 
     def apply(self, command: Command) -> None:
--- a/hollowhitch/net/channel.py
+++ b/hollowhitch/net/channel.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import random
 from collections.abc import Callable
 
 import gevent
@@ -22,16 +23,18 @@
 PATH = "/cmd/next"
 CONNECT_S = 1.0
 SILENT_S = 2.5  # a comment comes each second; what was missed counts as told 7 s after it was
-PAUSE_S, PAUSE_MOST_S = 0.05, 0.5  # between calls; doubles while they fail
+PAUSE_S, PAUSE_MOST_S = 0.05, 0.5  # between calls; doubles while they fail. Half of each is drawn by chance:
+# a channel that comes back, or ends all calls at once, must not be called by all proxies in step
 BAD_MOST = 3  # calls that fail at the same event before it is passed over
 
 
 class ChannelFollower:
-    def __init__(self, cursor: int, apply: Callable[[Command], None]) -> None:
+    def __init__(self, cursor: int, apply: Callable[[Command], None], seed: int = 0) -> None:
         self._address: Address | None = None
         self.cursor, self._apply = cursor, apply
         self._gap_at = -1  # the cursor at which a gap was seen
         self._bad = 0
+        self._rng = random.Random(seed)
         self._caller: gevent.Greenlet | None = None
 
     def follow(self, address: Address | None) -> None:
@@ -53,7 +56,11 @@
             except (OSError, ChannelError) as e:
                 say("channel", f"{type(e).__name__}: {e}")
             pause = PAUSE_S if self.cursor != before else min(2 * pause, PAUSE_MOST_S)
-            gevent.sleep(pause)
+            gevent.sleep(self.drawn(pause))
+
+    def drawn(self, pause: float) -> float:
+        """Never longer than told: what the channel has to tell counts as told soon after, heard or not."""
+        return pause * self._rng.uniform(0.5, 1.0)
 
     def _call(self, address: Address) -> None:
         with dial(address, CONNECT_S) as sock:
--- a/hollowhitch/policy/control.py
+++ b/hollowhitch/policy/control.py
@@ -511,7 +511,7 @@
         if o is Outcome.FULL:
             e.full_at = self.now
             self.tense += STEP * (1 - self.tense)
-        elif o is Outcome.CONNECT_FAILED:
+        elif o is Outcome.CONNECT_FAILED and not (e.out and self._report(e)):  # else it lives: no room
             self._bad_news(e)
         elif o in (Outcome.ERROR, Outcome.RESET) and e not in q.blamed:
             q.blamed.append(e)  # it may be the query's own fault: told by how it fares elsewhere
--- a/hollowhitch/policy/interface.py
+++ b/hollowhitch/policy/interface.py
@@ -142,6 +142,9 @@
     probe: float
     late_fail: float
     message: float
+    handshake: float = 0.0  # for each new connection, by first try
+    connection: float = 0.0  # times mean open connections over 100 for each engine
+    discovery: float = 0.0  # times list lines sent over 100 first tries
 
 
 @dataclass(frozen=True, slots=True)
--- a/hollowhitch/settings.py
+++ b/hollowhitch/settings.py
@@ -168,13 +168,7 @@
                 retry_after_us=bounds.whole("maxRetryAfterUs", 0) if bounds.flag("retryAfter") else None,
             ),
             rules=_rules(rules),
-            prices=Prices(
-                cross_zone=float(prices.number("crossZone", 0)),
-                waste=float(prices.number("waste", 0)),
-                probe=float(prices.number("probe", 0)),
-                late_fail=float(prices.number("lateFail", 0)),
-                message=float(prices.number("peer", 0)),
-            ),
+            prices=_prices(prices),
             asks_for_list=top.get("discovery", None) == "subscribe",
             reports_with_answers=load.get("how", None) == "answers",
             reports_with_probes=load.get("how", None) in ("answers", "probe"),
@@ -213,6 +207,27 @@
     )
 
 
+PRICES = {
+    "cross_zone": "crossZone",
+    "waste": "waste",
+    "probe": "probe",
+    "late_fail": "lateFail",
+    "message": "peer",
+    "handshake": "handshake",
+    "connection": "connection",
+    "discovery": "discovery",
+}
+
+
+def _prices(deductions: Table) -> Prices:
+    found = {name: float(deductions.number(key, 0)) for name, key in PRICES.items()}
+    for name, price in found.items():
+        if price < 0:
+            key = deductions.key(PRICES[name])
+            raise SettingsError(f"{key} must not be negative, as {price!r} is")
+    return Prices(**found)
+
+
 def _rules(rules: Table) -> Rules:
     share = rules.number("extraPerRequest", None)
     return Rules(
--- a/tests/test_config.py
+++ b/tests/test_config.py
@@ -44,6 +44,10 @@
         ("settings.classes.1.semantics", "odd", r"settings.classes\[1\].semantics"),
         ("settings.classes", [], "classes"), ("settings.extra.sizeMb", [1, 2], "settings.extra.sizeMb"),
         ("settings.rules.coldUs", "long", "settings.rules.coldUs"),
+        ("settings.deductions", {"handshake": "dear"}, "settings.deductions.handshake"),
+        ("settings.deductions", {"connection": float("inf")}, "settings.deductions.connection"),
+        ("settings.deductions", {"discovery": -0.1}, "settings.deductions.discovery"),
+        ("settings.deductions", {"probe": -1}, "settings.deductions.probe"),
     ],
 )
 def test_a_fault_names_its_key(path, value, named):
@@ -57,6 +61,13 @@
         parse(raw, {})
 
 
+def test_prices_are_read_and_one_left_out_is_nothing():
+    raw = boot.config()
+    raw["settings"]["deductions"] = {"handshake": 0.08, "connection": 0.5, "discovery": None}
+    prices = parse(raw, {}).settings.prices
+    assert (prices.handshake, prices.connection, prices.discovery, prices.waste) == (0.08, 0.5, 0.0, 0.0)
+
+
 @pytest.mark.parametrize("text,named", [(None, "ROUTER_CONFIG"), ("{", "ROUTER_CONFIG"), ("{}", "settings")])
 def test_the_program_ends_with_the_key_named(tmp_path, text, named):
     env = {k: v for k, v in os.environ.items() if k != "ROUTER_CONFIG"}
--- a/tests/test_mechanism.py
+++ b/tests/test_mechanism.py
@@ -180,6 +180,20 @@
     assert all(of(api.Send, g.ask())[0].engine != hit for _ in range(10))
 
 
+def test_a_connect_refused_where_ours_are_being_served_is_want_of_room_and_no_illness():
+    g = Gateway(engine("e1"))
+    for i in range(8):
+        g.ask(f"q{i}")
+        press(g, "e1", util=0.1)
+    e = g.c.engines["e1"]
+    for i in range(5):
+        g.end(f"q{i}", Outcome.CONNECT_FAILED)
+    assert e.failing == 0 and not e.ejected_until  # it answers, and has work of ours
+    g.now += 3 * S
+    g.end("q5", Outcome.CONNECT_FAILED)
+    assert e.failing > 0  # nothing heard for long: it may be gone
+
+
 def test_ejected_engine_returns_by_one_trial():
     g = Gateway(engine("e1"), engine("e2"), engine("e3"))
     e = g.c.engines["e1"]
