Reproduce the incident on real processes: 24 failing tests, listed as known failures

Change: package faults with stand-in servers, command channel and clients, real proxy processes, a preloaded library that steps the wall clock and makes system calls fail, and a checker that reads records alone. tests/test_fault_incidents.py plays the incident; KNOWN-RED.txt lists what fails, and the suite passes over exactly these tests and prints them. A keyed request is sent again past its window after steps of -3600, -5 and -0.5 s and not without a step or after a step forward; after a step back all requests are refused; the process outlives its grace with a hung server (deadline 20 s), with a client that reads nothing and with clients that keep their side open (deadline 0.5 s); each failed accept prints a traceback; a moment without sockets costs requests.

--- /dev/null
+++ b/faults/channel.py
@@ -0,0 +1,119 @@
+"""A stand-in command channel: numbered events over server-sent events, with outages and silences."""
+
+from __future__ import annotations
+
+import json
+import time
+from dataclasses import dataclass
+from typing import Any
+
+import gevent
+from gevent import socket
+
+from faults.records import Run, ServerState
+from faults.servers import Server
+
+COMMENT_S = 1.0  # between comments
+TOLD_LATE_S = 7.0  # what the channel has to tell counts as told by then, however
+
+
+@dataclass(frozen=True, slots=True)
+class Member:
+    """A server as a list names it."""
+
+    server: Server
+    phase: str = "active"
+    up_since_ms: int = 0
+
+    def as_json(self) -> dict[str, Any]:
+        return {
+            "id": self.server.name,
+            "host_port": f"{self.server.host}:{self.server.port}",
+            "locality": "z",
+            "flavor": "k",
+            "cell": 0,
+            "phase": self.phase,
+            "size": 1,
+            "up_since_ms": self.up_since_ms,
+        }
+
+
+class Channel:
+    """Tells all proxies of one run what changes in the list of servers."""
+
+    def __init__(self, run: Run) -> None:
+        self.run = run
+        self.events: list[dict[str, Any]] = []
+        self.silent = False  # open calls hear nothing, not even comments
+        self._connections: set[socket.socket] = set()
+        self._listener = socket.socket()
+        self._listener.setsockopt(socket.SOL_SOCKET, socket.SO_REUSEADDR, 1)
+        self._listener.bind(("127.0.0.1", 0))
+        self._listener.listen(64)
+        self.address = "{}:{}".format(*self._listener.getsockname())
+        self._acceptor = gevent.spawn(self._accept)
+
+    def tell(self, *members: Member, complete: bool = False) -> None:
+        """Add an event; every proxy counts as told from now on, or soon where the channel is down."""
+        cursor = len(self.events) + 1
+        rows = [member.as_json() for member in members]
+        self.events.append(
+            {"cursor": cursor, "nodes": {"revision": cursor, "complete": complete, "members": rows}}
+        )
+        now = time.monotonic()
+        for member in members:
+            started_at = now if member.up_since_ms else None
+            self.run.states.append(ServerState(member.server.name, member.phase, now, started_at))
+
+    def known(self) -> dict[str, Any]:
+        return {"cursor": len(self.events), "cmds": list(self.events)}
+
+    def drop_all(self) -> None:
+        """End every open call."""
+        for sock in list(self._connections):
+            sock.close()
+
+    def _accept(self) -> None:
+        while True:
+            try:
+                sock, _ = self._listener.accept()
+            except OSError:
+                return
+            gevent.spawn(self._serve, sock)
+
+    def _serve(self, sock: socket.socket) -> None:
+        self._connections.add(sock)
+        try:
+            head = b""
+            while b"\r\n\r\n" not in head:
+                data = sock.recv(4096)
+                if not data:
+                    return
+                head += data
+            cursor = 0
+            for line in head.decode().split("\r\n"):
+                name, _, value = line.partition(":")
+                if name.lower() == "last-event-id":
+                    cursor = int(value)
+            sock.sendall(b"HTTP/1.1 200 OK\r\nContent-Type: text/event-stream\r\n\r\n")
+            self._stream(sock, cursor)
+        except OSError:
+            pass
+        finally:
+            self._connections.discard(sock)
+            sock.close()
+
+    def _stream(self, sock: socket.socket, cursor: int) -> None:
+        commented_at = 0.0
+        while True:
+            if self.silent:
+                gevent.sleep(0.05)
+                continue
+            while cursor < len(self.events):
+                event = self.events[cursor]
+                cursor += 1
+                sock.sendall(f"id: {cursor}\ndata: {json.dumps(event)}\n\n".encode())
+            if time.monotonic() - commented_at >= COMMENT_S:
+                sock.sendall(b": alive\n\n")
+                commented_at = time.monotonic()
+            gevent.sleep(0.01)
--- /dev/null
+++ b/faults/records.py
@@ -0,0 +1,112 @@
+"""What clients, servers and the driver saw, as plain records on the monotonic clock (seconds)."""
+
+from __future__ import annotations
+
+import enum
+from dataclasses import dataclass, field
+
+
+class Code(enum.IntEnum):
+    """Codes of a client's answer."""
+
+    SERVED = 1
+    REFUSED = 2
+    FAILED = 3
+
+
+class AttemptEnd(enum.Enum):
+    """How an attempt ended at its server."""
+
+    SERVED = "served"
+    FAILED = "failed"
+    FULL = "full"
+    GIVEN_UP = "given up"
+    RESET = "reset"
+    CLOSED = "closed"  # the proxy closed the connection
+
+    @property
+    def never_ran(self) -> bool:
+        return self is AttemptEnd.FULL
+
+
+@dataclass(slots=True)
+class Answer:
+    at: float
+    code: Code
+    body: bytes = b""
+    cooldown_ms: int | None = None
+
+
+@dataclass(slots=True)
+class RequestRecord:
+    """One request as its client saw it."""
+
+    ref: str
+    proxy: str
+    connection: int
+    class_name: str
+    sent_at: float  # when its last byte was written
+    allow_s: float
+    replay: str | None = None
+    key: str | None = None
+    answers: list[Answer] = field(default_factory=list)
+    cancelled_at: float | None = None  # type 3, or the client closed its connection
+    connection_ended_at: float | None = None  # the proxy closed or reset it
+    connection_reset: bool = False
+
+
+@dataclass(slots=True)
+class AttemptRecord:
+    """One attempt as its server saw it."""
+
+    ref: str
+    server: str
+    proxy: str
+    class_name: str
+    first_byte_at: float
+    arrived_at: float
+    wait_s: float
+    once: str | None = None
+    ended_at: float | None = None
+    end: AttemptEnd | None = None
+
+
+@dataclass(frozen=True, slots=True)
+class ServerState:
+    """A change of a server's state that the command channel told."""
+
+    server: str
+    phase: str
+    told_at: float
+    started_at: float | None = None  # of a late start
+
+
+@dataclass(slots=True)
+class ProxyLife:
+    """One process of a proxy."""
+
+    proxy: str
+    started_at: float
+    ready_at: float | None = None
+    terminated_at: float | None = None  # SIGTERM or SIGINT
+    killed_at: float | None = None  # SIGKILL
+    ended_at: float | None = None
+    code: int | None = None
+    stderr: str = ""
+
+
+@dataclass(slots=True)
+class Run:
+    """All that one run recorded."""
+
+    requests: list[RequestRecord] = field(default_factory=list)
+    attempts: list[AttemptRecord] = field(default_factory=list)
+    states: list[ServerState] = field(default_factory=list)
+    lives: list[ProxyLife] = field(default_factory=list)
+    events: list[tuple[float, str]] = field(default_factory=list)  # what the driver did
+    injected: dict[str, int] = field(default_factory=dict)  # faults by kind
+
+    def note(self, at: float, kind: str, text: str) -> None:
+        """Write down a fault that the driver brought about."""
+        self.events.append((at, f"{kind}: {text}"))
+        self.injected[kind] = self.injected.get(kind, 0) + 1
--- a/tests/conftest.py
+++ b/tests/conftest.py
@@ -7,11 +7,13 @@
 from collections.abc import Callable, Iterator
 from typing import Any
 
+import pytest
 from hypothesis import settings as hypothesis_settings
 from hypothesis import strategies as st
 
 from hollowhitch import Controller
 from hollowhitch.policy import interface as api
+from tests import known_red
 
 hypothesis_settings.register_profile("ci", derandomize=True, deadline=None, max_examples=60)
 hypothesis_settings.load_profile("ci")
@@ -19,6 +21,24 @@
 S = 1_000_000
 
 
+def pytest_addoption(parser: pytest.Parser) -> None:
+    parser.addoption("--known-red", action="store_true", help="run the known failures too")
+
+
+def pytest_collection_modifyitems(config: pytest.Config, items: list[pytest.Item]) -> None:
+    """Pass over exactly the tests that KNOWN-RED.txt names."""
+    if config.getoption("--known-red"):
+        return
+    names = {entry.test for entry in known_red.read()}
+    config.hook.pytest_deselected(items=[item for item in items if item.nodeid in names])
+    items[:] = [item for item in items if item.nodeid not in names]
+
+
+def pytest_terminal_summary(terminalreporter: Any) -> None:
+    for entry in known_red.read():
+        terminalreporter.write_line(f"known red, passed over: {entry.test} ({entry.seen}; {entry.issue})")
+
+
 def query_class(name: str = "q", **changes: Any) -> api.QueryClass:
     base = api.QueryClass(
         name=name, aim_us=S, aim_stretch=2.0, deadline_us=6 * S, worth=1.0, late_share=0.0,
