Log why attempts, requests and connections end, and count it

The logs told a stepped clock only by the gap between two columns, and neither why a request was refused or repeated nor why an engine was left out.

--- a/hollowhitch/__main__.py
+++ b/hollowhitch/__main__.py
@@ -14,8 +14,9 @@
 from gevent.event import Event
 
 from hollowhitch import config as configuration
+from hollowhitch import log
 from hollowhitch.gateway import Clock, Gateway
-from hollowhitch.log import say
+from hollowhitch.metrics import Metrics
 from hollowhitch.net.channel import ChannelFollower
 from hollowhitch.net.clients import Front
 from hollowhitch.net.engines import EnginePools
@@ -35,9 +36,12 @@
     def __init__(self, config: configuration.Config) -> None:
         self.config = config
         self.clock = Clock()
+        self.metrics = Metrics()
         timers = Timers()
-        self.pools = EnginePools(config, self.clock, timers.later)
-        self.gateway = Gateway(config.settings, config.seed, self.pools, timers.later, self.clock)
+        self.pools = EnginePools(config, self.clock, timers.later, self.metrics)
+        self.gateway = Gateway(
+            config.settings, config.seed, self.pools, timers.later, self.clock, self.metrics
+        )
         self.pools.gateway = self.gateway
         self.front = Front(config, self.gateway)
         self.channel = ChannelFollower(config.cursor, self.apply, config.seed)
@@ -64,7 +68,8 @@
             self.front.start()
         except OSError as e:
             raise configuration.ConfigError(f"listen: {e}") from None
-        say("proxy", f"{self.config.name} listens on {self.front.address[0]}:{self.front.address[1]}")
+        host, port = self.front.address
+        log.event("proxy", "listens", name=self.config.name, address=f"{host}:{port}")
 
     def reread(self, env: Mapping[str, str]) -> None:
         """The file was replaced: follow the channel it names. All else in it holds from the next start on.
@@ -72,12 +77,11 @@
         try:
             config = configuration.read(env)
         except configuration.ConfigError as e:
-            say("configuration", f"the old one stays: {e}")
+            log.event("configuration", "refused, the old one stays", error=e)
             return
         names = {f.name for f in dataclasses.fields(config)} - set(READ_ANEW + NEW_EACH_TIME)
         later = sorted(n for n in names if getattr(config, n) != getattr(self.config, n))
-        held_back = f"; changed, but only from the next start on: {', '.join(later)}" if later else ""
-        say("configuration", f"read anew, the channel is {config.channel}{held_back}")
+        log.event("configuration", "read anew", channel=config.channel, from_next_start=",".join(later))
         self.channel.follow(config.channel)
 
     def watch_standstills(self) -> None:
@@ -87,12 +91,14 @@
             gevent.sleep(WATCH_S)
             late = time.monotonic() - before - WATCH_S
             if late > STANDSTILL_S:
-                say("standstill", f"of {late * 1000:.0f} ms")
+                self.metrics.standstills.observe(late)
+                log.event("standstill", "the event loop stood still", ms=round(late * 1000))
 
     def run(self) -> int:
         for number in (signal.SIGTERM, signal.SIGINT):
             gevent.signal_handler(number, self.end.set)
         gevent.signal_handler(signal.SIGHUP, self.reread, os.environ)
+        gevent.signal_handler(signal.SIGUSR1, self.write_metrics)
         gc.collect()
         gc.freeze()
         gc.set_threshold(COLLECT_EVERY, 20, 20)
@@ -103,7 +109,7 @@
 
     def finish(self) -> None:
         """Nothing taken is lost: warn, take what is on its way, finish what is open, then go."""
-        say("proxy", f"ending, with {self.gateway.unanswered} open")
+        log.event("proxy", "ending", open=self.gateway.unanswered, connections=len(self.front.connections))
         front = self.front
         front.closing = True
         front.warn_all()
@@ -120,10 +126,17 @@
         with gevent.Timeout(1.0, False):
             while front.connections:
                 gevent.sleep(POLL_S)
-        say("proxy", "ended")
+        log.event("proxy", "ended", open=self.gateway.unanswered, connections=len(self.front.connections))
+        self.write_metrics()
+
+    def write_metrics(self) -> None:
+        """All counters and histograms to standard error, in the Prometheus text format."""
+        sys.stderr.write(self.metrics.text())
+        sys.stderr.flush()
 
 
 def main() -> int:
+    log.configure()
     try:
         return Proxy(configuration.read(os.environ)).run()
     except configuration.ConfigError as e:
--- a/hollowhitch/adapter.py
+++ b/hollowhitch/adapter.py
@@ -19,6 +19,7 @@
     Event,
     Fail,
     FetchList,
+    HealthChanged,
     ListKind,
     LoadReport,
     Log,
@@ -197,7 +198,8 @@
             text = " ".join(f"{type(e).__name__}: {e}".split())
             self._say(self.instance, [f"fault {text}"])
             return
-        self._say(self.instance, [format_action(a) for a in actions])
+        spoken = (a for a in actions if not isinstance(a, HealthChanged))  # which the wire has no word for
+        self._say(self.instance, [format_action(a) for a in spoken])
 
     def _open(self, line: str) -> None:
         parts = line.split(" ", 2)
--- a/hollowhitch/gateway.py
+++ b/hollowhitch/gateway.py
@@ -13,7 +13,8 @@
 from dataclasses import dataclass, field
 from typing import Protocol
 
-from hollowhitch.log import say
+from hollowhitch import log
+from hollowhitch.metrics import Metrics
 from hollowhitch.policy import interface as api
 from hollowhitch.policy.control import Controller
 
@@ -59,6 +60,7 @@
     statement: bytes
     answer: Callable[[Answer], None]
     expires_us: int = 0
+    taken_us: int = 0
     over: bool = False  # it has its answer, or nobody waits for one
     attempts: list[Attempt] = field(default_factory=list)
     grant_mb: float = 0.0
@@ -81,6 +83,7 @@
     until_us: int
     grant_mb: float
     ended: bool = False
+    outcome: api.Outcome | None = None
     carrier: object = None  # the backend's own mark
     timer: Timer | None = None
 
@@ -108,9 +111,15 @@
 
 class Gateway:
     def __init__(
-        self, settings: api.Settings, seed: int, backend: Backend, call_later: CallLater, clock: Clock
+        self,
+        settings: api.Settings,
+        seed: int,
+        backend: Backend,
+        call_later: CallLater,
+        clock: Clock,
+        metrics: Metrics,
     ) -> None:
-        self.settings, self.backend, self.clock = settings, backend, clock
+        self.settings, self.backend, self.clock, self.metrics = settings, backend, clock, metrics
         self.controller = Controller(settings, seed)
         self.queries: dict[str, Query] = {}  # until answered and without an attempt out
         self.unanswered = 0
@@ -132,8 +141,10 @@
         query.expires_us = at_us + allowed_us - min(RESERVE_US, int(allowed_us * RESERVE_SHARE))
         left_us = max(0, query.expires_us - self.clock.now_us())
         query.arrived = dataclasses.replace(query.arrived, id=name, expires_in_us=left_us)
+        query.taken_us = at_us
         self.queries[name] = query
         self.unanswered += 1
+        self.metrics.requests.add(query.arrived.class_name)
         overdue = (left_us + OVERDUE_US) / 1e6
         query.watchdog = self._call_later(overdue, lambda: self._overdue(query))
         self.post(query.arrived)
@@ -141,6 +152,7 @@
     def left(self, query: Query) -> None:
         """The client no longer waits."""
         if not query.over:
+            self.metrics.answers.add("client_left")
             self._over(query)
             self.post(api.ClientLeft(query.arrived.id))
 
@@ -182,7 +194,7 @@
         except Exception as e:
             # Guards against a fault in the decisions: it costs the query that the event speaks of. What had
             # been decided before is booked in the module, so it is carried out all the same.
-            say("module", f"{type(event).__name__}: {type(e).__name__}: {e}")
+            log.event("fault", "decision failed", on=type(event).__name__, error=repr(e))
             actions = self.controller.acts
             if event != SET_ANEW:  # its next timer was not set
                 self._events.append(SET_ANEW)
@@ -191,7 +203,7 @@
             try:
                 self._act(action)
             except Exception as e:  # one action must not take the next ones with it
-                say("fault", f"{action}: {type(e).__name__}: {e}")
+                log.event("fault", "action failed", action=action, error=repr(e))
         if isinstance(event, api.AttemptEnded | api.ClientLeft):
             self._forget(event.id)
 
@@ -213,9 +225,11 @@
                 self._call_later(action.delay_us / 1e6, lambda: self.post(api.TimerFired(label)))
             case api.Refuse():
                 if (query := self.queries.get(action.id)) is not None and not query.over:
+                    self._unserved(query, "refused", action.reason)
                     self._answer(query, Refused(action.retry_after_us))
             case api.Fail():
                 if (query := self.queries.get(action.id)) is not None and not query.over:
+                    self._unserved(query, "failed", action.reason)
                     self._answer(query, Failed())
             case api.CancelAttempt():
                 query = self.queries.get(action.id)
@@ -228,9 +242,12 @@
                 if self.settings.limits.probes:
                     self.backend.probe(action.engine)
             case api.Log():
-                say("decisions", action.text)
+                log.event("decisions", action.text)
+            case api.HealthChanged():
+                self.metrics.ejections.add(action.reason)
+                log.event("health", action.change, engine=action.engine, reason=action.reason)
             case _:  # the list comes by itself here, and gateways do not talk to each other
-                say("gateway", f"{type(action).__name__} has no meaning here")
+                log.event("fault", "action without meaning here", action=type(action).__name__)
 
     def _send(self, action: api.Send) -> None:
         query = self.queries.get(action.id)
@@ -239,6 +256,8 @@
         now = self.clock.now_us()
         until = min(now + action.timeout_us, query.expires_us) if action.timeout_us else query.expires_us
         attempt = Attempt(query, len(query.attempts), action.engine, now, until, query.grant_mb)
+        if query.attempts:
+            self._retried(query, attempt)
         query.attempts.append(attempt)
         if query.over or until <= now:  # its client left meanwhile, or its time has run out: never sent
             self.ended(attempt, api.Outcome.MOOT)
@@ -248,7 +267,7 @@
         try:
             self.backend.start(attempt)
         except Exception as e:  # the module waits for exactly one word on each attempt
-            say("fault", f"starting an attempt: {type(e).__name__}: {e}")
+            log.event("fault", "starting an attempt failed", ref=query.ref, error=repr(e))
             self.ended(attempt, api.Outcome.CONNECT_FAILED)
 
     def _stop(self, attempt: Attempt, outcome: api.Outcome) -> None:
@@ -266,6 +285,18 @@
 
     def _report(self, attempt: Attempt, outcome: api.Outcome, report: api.LoadReport | None) -> None:
         query, elapsed = attempt.query, self.clock.now_us() - attempt.sent_us
+        attempt.outcome = outcome
+        self.metrics.attempts.add(outcome.value)
+        if outcome is not api.Outcome.OK:
+            log.event(
+                "attempt",
+                "ended unserved",
+                ref=query.ref,
+                number=attempt.number,
+                engine=attempt.engine,
+                outcome=outcome.value,
+                after_ms=elapsed // 1000,
+            )
         name = query.arrived.id
         self.post(
             api.AttemptEnded(
@@ -281,10 +312,33 @@
             attempt.timer.cancel()
             attempt.timer = None
 
+    def _retried(self, query: Query, attempt: Attempt) -> None:
+        last = query.attempts[-1].outcome
+        after = last.value if last is not None else "out"
+        self.metrics.retries.add(after)
+        log.event(
+            "retry", "sent again", ref=query.ref, number=attempt.number, engine=attempt.engine, after=after
+        )
+
+    def _unserved(self, query: Query, answer: str, reason: api.EndReason) -> None:
+        self.metrics.endings.add(reason.value)
+        log.event(
+            answer,
+            "gave up",
+            ref=query.ref,
+            service=query.arrived.class_name,
+            reason=reason.value,
+            attempts=len(query.attempts),
+            left_ms=(query.expires_us - self.clock.now_us()) // 1000,
+        )
+
     def _answer(self, query: Query, answer: Answer) -> None:
+        self.metrics.answers.add(type(answer).__name__.lower())
+        self.metrics.latency.observe((self.clock.now_us() - query.taken_us) / 1e6)
         late_us = self.clock.now_us() - query.expires_us
         if late_us > RESERVE_US:  # within the rule's slack at best
-            say("late", f"{type(answer).__name__} to {query.ref}, {late_us} us after its time was up")
+            name = type(answer).__name__.lower()
+            log.event("late", "answered", ref=query.ref, answer=name, late_ms=late_us // 1000)
         self._over(query)
         query.answer(answer)
 
@@ -306,7 +360,8 @@
         """Guards against a query that the module has lost: its client is owed an answer all the same."""
         if query.over:
             return
-        say("overdue", f"{query.arrived.class_name} {query.ref} was not ended in time")
+        self.metrics.endings.add("overdue")
+        log.event("overdue", "was not ended in time", ref=query.ref, service=query.arrived.class_name)
         self._answer(query, Failed())
         self.post(api.ClientLeft(query.arrived.id))
         for attempt in query.attempts:
--- a/hollowhitch/net/channel.py
+++ b/hollowhitch/net/channel.py
@@ -7,8 +7,8 @@
 
 import gevent
 
+from hollowhitch import log
 from hollowhitch.config import Address
-from hollowhitch.log import say
 from hollowhitch.net.dial import dial
 from hollowhitch.protocol.buffer import ReceiveBuffer
 from hollowhitch.protocol.channel import (
@@ -54,7 +54,7 @@
             try:
                 self._call(address)
             except (OSError, ChannelError) as e:
-                say("channel", f"{type(e).__name__}: {e}")
+                log.event("channel", "call ended", cursor=self.cursor, error=repr(e))
             pause = PAUSE_S if self.cursor != before else min(2 * pause, PAUSE_MOST_S)
             gevent.sleep(self.drawn(pause))
 
@@ -86,7 +86,7 @@
             if self._bad < BAD_MOST or not event.id.isdigit():
                 raise
             # Guards against an event that never can be read: without it no later one would be heard.
-            say("channel", f"passed over: {e}")
+            log.event("channel", "event passed over", cursor=self.cursor, error=e)
             self.cursor, self._bad = max(self.cursor, int(event.id)), 0
             return
         if command.cursor <= self.cursor:
--- a/hollowhitch/net/clients.py
+++ b/hollowhitch/net/clients.py
@@ -11,9 +11,9 @@
 from gevent import socket
 from gevent.server import StreamServer
 
+from hollowhitch import log
 from hollowhitch.config import Config
 from hollowhitch.gateway import Answer, Failed, Gateway, Query, Refused, Served
-from hollowhitch.log import say
 from hollowhitch.net.arrivals import Arrivals, receive, want_times
 from hollowhitch.net.outbox import Outbox
 from hollowhitch.protocol import frames
@@ -54,7 +54,7 @@
         except OSError:
             pass  # a client that is gone, in whatever way
         except Exception as e:  # a fault of ours costs this connection, with its queries given up below
-            say("fault", f"reading from a client: {type(e).__name__}: {e}")
+            log.event("fault", "reading from a client failed", error=repr(e))
         finally:
             for stream, query in list(self.queries.items()):
                 self._forget(stream)
@@ -166,10 +166,10 @@
                     self._bad(event.stream, event.reason)
             case frames.Duplicate():
                 self.offences += 1
-                say("client", f"stream {event.stream} was used before")
+                log.event("client", "stream was used before", stream=event.stream)
                 self.outbox.put(_error(0, f"stream {event.stream} was used before"))
             case frames.Broken():
-                say("client", event.reason)
+                log.event("client", "bytes that are no frame", reason=event.reason)
                 self.outbox.put(_error(0, event.reason))
                 self._end_if_done()
 
@@ -177,7 +177,7 @@
         try:
             self._request(event, at_us)
         except Exception as e:  # a fault of ours costs this request, which is answered all the same
-            say("fault", f"taking a request: {type(e).__name__}: {e}")
+            log.event("fault", "taking a request failed", error=repr(e))
             self._answer(event.stream, Failed())
 
     def _request(self, event: frames.Request, at_us: int) -> None:
@@ -204,7 +204,7 @@
         front.gateway.take(query, at_us)
 
     def _bad(self, stream: int, reason: str) -> None:
-        say("client", f"a request that can't be used: {reason}")
+        log.event("client", "request cannot be used", reason=reason)
         self.offences += 1
         self.protocol.answered(stream)
         self.outbox.put(_error(stream, reason))
--- a/hollowhitch/net/engines.py
+++ b/hollowhitch/net/engines.py
@@ -11,9 +11,10 @@
 import gevent
 from gevent import socket
 
+from hollowhitch import log
 from hollowhitch.config import Address, Config
 from hollowhitch.gateway import Attempt, CallLater, Clock, Gateway
-from hollowhitch.log import say
+from hollowhitch.metrics import Metrics
 from hollowhitch.net.dial import dial
 from hollowhitch.net.outbox import Outbox
 from hollowhitch.policy.interface import EngineList, EngineState, ListKind, LoadReport, Outcome, ProbeEnded
@@ -113,18 +114,18 @@
                 self.heard_us, self.suspect = self.pool.owner.clock.now_us(), False
                 for end in protocol.received(count):
                     if end.reason:
-                        say("engine", f"{self.pool.id}: {end.reason}")
+                        log.event("engine", "answer", engine=self.pool.id, ref=end.ref, reason=end.reason)
                     self._finished(end.ref, end.outcome, end.report, end.body)
                 if protocol.output:
                     self.outbox.put(bytes(protocol.output))
                     protocol.output.clear()
                 if protocol.spoilt:
-                    say("engine", f"{self.pool.id} does not follow the protocol: {protocol.spoilt}")
+                    log.event("engine", "breaks the protocol", engine=self.pool.id, reason=protocol.spoilt)
                     return self.close("")
         except OSError as e:
             self.close(f"read: {e}")
         except Exception as e:  # a fault of ours: its attempts must end all the same
-            say("fault", f"reading from {self.pool.id}: {type(e).__name__}: {e}")
+            log.event("fault", "reading from an engine failed", engine=self.pool.id, error=repr(e))
             self.close("fault")
 
     def _finished(self, ref: str, outcome: Outcome, report: LoadReport | None, body: bytes) -> None:
@@ -160,7 +161,7 @@
             return
         self.closed = True
         if why and self.attempts:
-            say("engine", f"{self.pool.id}: {why}, with {len(self.attempts)} attempts")
+            log.event("engine", "closed", engine=self.pool.id, reason=why, attempts=",".join(self.attempts))
         self.outbox.close()
         with contextlib.suppress(OSError):  # the engine is told now; the close itself waits for the loop
             self.sock.shutdown(socket.SHUT_RDWR)
@@ -215,7 +216,7 @@
         try:
             sock = dial(address, self.owner.config.dial_timeout_us / 1e6)
         except OSError as e:
-            say("engine", f"{self.id}: connect: {e}")
+            log.event("engine", "connect failed", engine=self.id, error=e)
             self.dialing = False
             outcome = Outcome.MOOT if e.errno in OURS else Outcome.CONNECT_FAILED
             waiting, self.waiting = self.waiting, deque()
@@ -255,8 +256,8 @@
 class EnginePools:
     gateway: Gateway  # set once both stand
 
-    def __init__(self, config: Config, clock: Clock, call_later: CallLater) -> None:
-        self.config, self.clock, self.call_later = config, clock, call_later
+    def __init__(self, config: Config, clock: Clock, call_later: CallLater, metrics: Metrics) -> None:
+        self.config, self.clock, self.call_later, self.metrics = config, clock, call_later, metrics
         self.reports = config.settings.reports_with_answers
         self.pools: dict[str, Pool] = {}
         self._tags = 0
--- a/hollowhitch/net/timers.py
+++ b/hollowhitch/net/timers.py
@@ -9,7 +9,7 @@
 
 import gevent
 
-from hollowhitch.log import say
+from hollowhitch import log
 
 
 class LaterCall:
@@ -53,7 +53,7 @@
                 if call is not None:
                     call()
             except Exception as e:  # one call must not take the next ones with it
-                say("fault", f"a call made later: {type(e).__name__}: {e}")
+                log.event("fault", "a delayed call failed", error=repr(e))
         while self._heap and self._heap[0][2].call is None:
             heapq.heappop(self._heap)
         if self._heap and self._heap[0][0] < self._due:
--- a/hollowhitch/policy/control.py
+++ b/hollowhitch/policy/control.py
@@ -49,7 +49,7 @@
 BAD_PLAN, BAD_PLAN_US = 4.0, 1_000_000  # time left, in fresh attempts and beyond, that is called off
 TICKS_AHEAD, ASK_US = 2.2, 500_000  # batches before its client gives up; before asking for a list again
 
-Effect, Outcome = api.Effect, api.Outcome
+Effect, EndReason, Outcome = api.Effect, api.EndReason, api.Outcome
 
 
 class Controller(Ledger):
@@ -81,7 +81,7 @@
         q.over = ev.tenant in self.quotas and not self.quotas[ev.tenant].take(self.now, slack / 1e6)
         q.answer_by = q.expires - TICKS_AHEAD * self.s.tick_us
         if q.answer_by <= self.now:
-            return self.end(q)
+            return self.end(q, EndReason.NO_TIME)
         self.agenda.add(q.answer_by, self._due, q)
         q.two = self._draw(q)
         self._ask_first(q)
@@ -306,7 +306,7 @@
         slow = math.exp(max(self.stretch + self.best, 0.0)) if self.whole else 1.0  # what answers take now
         late = min(q.aim, q.expires) - q.work / q.cls.threads * slow
         if self.may_refuse(q) and self.open_for[q.ci] and (late <= self.now or q.over):
-            return self.end(q)
+            return self.end(q, EndReason.OVER_SHARE if q.over else EndReason.MISSES_AIM)
         self.agenda.add(max(late, self.now + 1), self._due, q)
         self.held.add(group, q, q.cls.worth / max(q.work, 1), in_line=turn)
         if not turn:
@@ -320,11 +320,11 @@
         while self.held.work > most and self.held.count > self.whole:
             if (worst := self.held.least_worth(self.may_refuse)) is None:
                 break
-            self.end(worst)
+            self.end(worst, EndReason.LEAST_WORTH)
 
     def _due(self, q: Query) -> None:
         if not q.done and not q.streaming and (self.now >= q.answer_by or (q.held and self.may_refuse(q))):
-            self.end(q)
+            self.end(q, EndReason.NO_TIME if self.now >= q.answer_by else EndReason.MISSES_AIM)
 
     def pump(self, only: EngineTable | None = None) -> None:
         if only is None or not self._pressure(only) or only.slots + 1 <= only.limit:
@@ -391,9 +391,10 @@
         well = not e.ejected_until or trial or self.all_ill
         return well and q.stays_inside(e.info) and self._cold_fits(e, q)
 
-    def _eject(self, e: EngineTable) -> None:
+    def _eject(self, e: EngineTable, reason: str) -> None:
         if e.ejected_until and e.trial is None:
             return
+        self.acts.append(api.HealthChanged(e.info.id, "ejected", reason))
         e.trials += e.trial is not None
         e.ejected_until, e.trial = self.now + min(EJECT_US * 2**e.trials, EJECT_MOST_US), None
         self._judge_pool()
@@ -406,7 +407,7 @@
         e.failing += ERROR_STEP * (1 - e.failing)
         others = [o.failing for o in self.engines.values() if o is not e]
         if e.failing > ERROR_SHARE + ERROR_TIMES * sum(others) / max(len(others), 1):
-            self._eject(e)
+            self._eject(e, "failures")
 
     def _overdue_us(self, q: Query) -> float:
         return SILENT_US + OVERDUE * max(q.work / q.cls.threads, self.classes[q.ci].usual_us)
@@ -427,7 +428,7 @@
             self.stretch += STRETCH_STEP * max(late - self.stretch, 0) / len(self.awake)
         (_, n), q = next(iter(e.out.items()))
         if self.now - e.heard >= SILENT_US and self.now - q.attempts[n].sent >= self._overdue_us(q):
-            self._eject(e)
+            self._eject(e, "silence")
             for (_, n), q in () if self.all_ill else list(e.out.items()):
                 self._call_off(q, n)
 
@@ -483,7 +484,7 @@
         """No attempt is out any more: another, unless the whole pool is ill and work would be lost again."""
         more = self.may_attempt(q, ever=True) and not (self.all_ill and q.ran)
         q.two = self._draw(q)
-        self.offer(q) if more else self.end(q)
+        self.offer(q) if more else self.end(q, EndReason.NO_ATTEMPT_LEFT)
 
     def account(self, q: Query, a: Attempt, ev: api.AttemptEnded) -> None:
         """A failed attempt keeps its charge for its class's usual time, so fast errors never look light."""
@@ -502,6 +503,7 @@
                 self._learn(q, ev, e)
             if e.ejected_until and (e.trial is a or e.failing < ERROR_SHARE):
                 e.ejected_until, e.trial, e.failing, e.trials = 0, None, 0.0, 0
+                self.acts.append(api.HealthChanged(e.info.id, "taken back", "answered"))
                 self._judge_pool()
             return
         keep = 0 if o is Outcome.MOOT else a.sent + self.classes[q.ci].usual_us - self.now
@@ -516,7 +518,7 @@
         elif o in (Outcome.ERROR, Outcome.RESET) and e not in q.blamed:
             q.blamed.append(e)  # it may be the query's own fault: told by how it fares elsewhere
         if e.trial is a:
-            self._eject(e)
+            self._eject(e, "trial failed")
 
     # ---- guards of the rules; what the told rules allow of attempts and answers is counted in state.py
 
--- a/hollowhitch/policy/interface.py
+++ b/hollowhitch/policy/interface.py
@@ -304,6 +304,17 @@
 # Actions out
 
 
+class EndReason(Enum):
+    """Why a query was ended without a result."""
+
+    NO_TIME = "no_time"  # it came with no time left, or its time has run out
+    MISSES_AIM = "misses_aim"  # held, it could not be served by its aim
+    OVER_SHARE = "over_share"  # of a tenant past its quota, while it would have to wait
+    LEAST_WORTH = "least_worth"  # held work is more than can be done, and it earned least for its work
+    NO_ATTEMPT_LEFT = "no_attempt_left"  # it may not be sent again
+    UNKNOWN = "unknown"
+
+
 @dataclass(frozen=True, slots=True)
 class Send:
     id: str
@@ -322,11 +333,13 @@
 class Refuse:
     id: str
     retry_after_us: int
+    reason: EndReason = EndReason.UNKNOWN
 
 
 @dataclass(frozen=True, slots=True)
 class Fail:
     id: str
+    reason: EndReason = EndReason.UNKNOWN
 
 
 @dataclass(frozen=True, slots=True)
@@ -357,6 +370,15 @@
     text: str
 
 
+@dataclass(frozen=True, slots=True)
+class HealthChanged:
+    """An engine was ejected or taken back: told for logs and metrics alone."""
+
+    engine: str
+    change: str
+    reason: str
+
+
 @dataclass(frozen=True, slots=True)
 class Subscribe:
     pass
@@ -368,6 +390,6 @@
 
 
 Action = (
-    Send | SetTerms | Refuse | Fail | CancelAttempt | SetTimer | Probe | SendMessage | Log | Subscribe
-    | FetchList
+    Send | SetTerms | Refuse | Fail | CancelAttempt | SetTimer | Probe | SendMessage | Log | HealthChanged
+    | Subscribe | FetchList
 )
--- a/hollowhitch/policy/state.py
+++ b/hollowhitch/policy/state.py
@@ -547,10 +547,10 @@
         e.holds += 1
         self.rates.holds += 1
 
-    def end(self, q: Query) -> None:
+    def end(self, q: Query, reason: api.EndReason) -> None:
         """The final answer here: a refusal where it is harmless, else a failure (rule 2)."""
-        refusal = api.Refuse(q.id, self.s.limits.retry_after_us or 0)
-        self.acts.append(refusal if self.may_refuse(q) else api.Fail(q.id))
+        refusal = api.Refuse(q.id, self.s.limits.retry_after_us or 0, reason)
+        self.acts.append(refusal if self.may_refuse(q) else api.Fail(q.id, reason))
         self.close(q)
 
     def cancel(self, q: Query, a: Attempt) -> None:
--- a/tests/test_gateway.py
+++ b/tests/test_gateway.py
@@ -8,6 +8,7 @@
 import pytest
 
 from hollowhitch import gateway as gw
+from hollowhitch.metrics import Metrics
 from hollowhitch.policy import interface as api
 from tests.conftest import engine, query_class, settings
 
@@ -43,7 +44,7 @@
     def __init__(self, *classes: api.QueryClass) -> None:
         self.later: list[SimpleNamespace] = []
         self.backend, self.clock = Backend(), Ahead()
-        self.gateway = gw.Gateway(settings(*classes), 1, self.backend, self.call_later, self.clock)
+        self.gateway = gw.Gateway(settings(*classes), 1, self.backend, self.call_later, self.clock, Metrics())
         self.answers: list[gw.Answer] = []
         self.gateway.relist(api.EngineList(api.ListKind.CACHED, (engine("a"), engine("b"))))
 
--- a/tests/test_mechanism.py
+++ b/tests/test_mechanism.py
@@ -197,7 +197,7 @@
 def test_ejected_engine_returns_by_one_trial():
     g = Gateway(engine("e1"), engine("e2"), engine("e3"))
     e = g.c.engines["e1"]
-    g.c._eject(e)
+    g.c._eject(e, "test")
     g.now += 3 * S
     sends = [of(api.Send, g.ask(f"q{i}")) for i in range(20)]
     tried = [a.id for acts in sends for a in acts if a.engine == "e1"]
@@ -209,7 +209,7 @@
 def test_failed_trial_rests_longer():
     g = Gateway(engine("e1"), engine("e2"), engine("e3"))
     e = g.c.engines["e1"]
-    g.c._eject(e)
+    g.c._eject(e, "test")
     first = e.ejected_until - g.now
     g.now += 3 * S
     while e.trial is None:
@@ -236,7 +236,7 @@
 def test_when_most_look_ill_the_pool_stays_in_use():
     g = Gateway(*(engine(f"e{i}") for i in range(4)))
     for e in list(g.c.engines.values())[:3]:
-        g.c._eject(e)
+        g.c._eject(e, "test")
     assert g.c.all_ill
     assert len({of(api.Send, g.ask())[0].engine for _ in range(20)}) > 1
 
--- a/tests/test_proxy.py
+++ b/tests/test_proxy.py
@@ -19,6 +19,7 @@
 
 from hollowhitch import __main__ as program
 from hollowhitch import config as configuration
+from hollowhitch import log
 from hollowhitch.net import clients
 from hollowhitch.net import engines as engines_module
 from hollowhitch.net.dial import dial
@@ -468,6 +469,7 @@
     proxy, _ = start(rows)
     path = tmp_path / "c.json"
     env = {"ROUTER_CONFIG": str(path)}
+    log.configure()
     followed = []
     proxy.channel.follow = followed.append
     for changes in ({"channel": "127.0.0.1:9"}, {"channel": "nowhere"}):
@@ -477,7 +479,8 @@
     proxy.reread(env)
     assert followed == [("127.0.0.1", 9)]
     said = capsys.readouterr().err
-    assert "stays: channel: 'nowhere' is not host:port" in said and "is not JSON" in said
+    assert "the old one stays" in said
+    assert "channel: 'nowhere' is not host:port" in said and "is not JSON" in said
 
 
 def test_the_program_lives_through_sighup_and_ends_with_0_after_sigterm(tmp_path):
@@ -486,7 +489,7 @@
     env = {**os.environ, "ROUTER_CONFIG": str(path)}
     run = subprocess.Popen([sys.executable, "-m", "hollowhitch"], env=env, stderr=subprocess.PIPE)
     try:
-        host, _, port = run.stderr.readline().decode().split()[-1].rpartition(":")
+        host, _, port = run.stderr.readline().decode().split("address=")[-1].strip().rpartition(":")
         sock = socket.create_connection((host, int(port)))
         run.send_signal(signal.SIGHUP)
         assert "read anew" in run.stderr.readline().decode()
--- a/tests/test_rules.py
+++ b/tests/test_rules.py
@@ -46,7 +46,7 @@
     g = Gateway(engine("e1"), engine("e2"), given=settings(query_class(effect=Effect.UNSAFE)))
     g.ask("a")
     acts = g.end("a", outcome)
-    assert of(api.Fail, acts) == [api.Fail("a")]
+    assert of(api.Fail, acts) == [api.Fail("a", api.EndReason.NO_ATTEMPT_LEFT)]
     assert not of(api.Send, acts) and not of(api.Refuse, acts)
 
 
