Never take an engine for older than it surely is, whatever the wall clock said at the start

Callers would see: a database that had just started is overwhelmed (rule failback), or one stays cold for an hour. Found as a related path of the incident: the age of an engine is the only span that has to be worked out from a wall time (up_since_ms). Cause: the age was the proxy's wall clock minus the listed start. A clock that was an hour ahead when the process started made every new engine look warm; one that was behind left it cold until the clock had caught up. Change: policy/start_times.py places each start on the monotonic clock once, and gives beside the likely start the latest possible one: the smallest age seen bounds the clock's error, and an engine first listed while the process ran cannot be much older than the process. The slow-start budget goes by the latest possible start; the turns that all gateways draw alike go by the likely one. Steps after the start of the process change nothing. Cost: after a start of the process, engines that started late count as cold for the settings' time, less the smallest age seen.

--- a/hollowhitch/__main__.py
+++ b/hollowhitch/__main__.py
@@ -22,7 +22,8 @@
 from hollowhitch.net.engines import EnginePools
 from hollowhitch.net.heartbeat import Heartbeat
 from hollowhitch.net.timers import Timers
-from hollowhitch.policy.interface import Engine, ListKind
+from hollowhitch.policy.interface import ListKind
+from hollowhitch.policy.start_times import StartTimes
 from hollowhitch.protocol.channel import Command
 
 TAKES_S = 0.9  # after SIGTERM: how long what still comes is taken and served
@@ -37,6 +38,8 @@
         self.config = config
         self.clock = Clock()
         self.metrics = Metrics()
+        self.start_times = StartTimes(self.clock.now_us(), self.clock.from_wall_us)
+        self.live = False  # lists come from the channel, no longer from the configuration
         timers = Timers()
         self.pools = EnginePools(config, self.clock, timers.later, self.metrics)
         self.gateway = Gateway(
@@ -51,14 +54,10 @@
     def apply(self, command: Command) -> None:
         """A change to the list: first to the pools, so that every engine the module hears of has one."""
         if command.engines is not None:
-            rows = (dataclasses.replace(e, started_us=self._started_us(e)) for e in command.engines.engines)
-            engines = dataclasses.replace(command.engines, engines=tuple(rows))
+            engines = self.start_times.translate(command.engines, self.clock.now_us(), self.live)
             self.pools.relist(engines, command.addresses)
             self.gateway.relist(engines)
 
-    def _started_us(self, engine: Engine) -> int:
-        return self.clock.from_wall_us(engine.started_us) if engine.started_us else 0
-
     def start(self) -> None:
         first = True
         for command in self.config.known:
@@ -67,6 +66,7 @@
                 cached = dataclasses.replace(command.engines, kind=ListKind.CACHED)
                 command = dataclasses.replace(command, engines=cached)
             self.apply(command)
+        self.live = True
         self.channel.follow(self.config.channel)
         gevent.spawn(self.pools.sweep_forever)
         self.heartbeat.start()
--- a/hollowhitch/policy/control.py
+++ b/hollowhitch/policy/control.py
@@ -526,14 +526,19 @@
         """Rule 4: a just started engine gets our part of the told budget in any window, on the safe side."""
         if not self.cold(e):
             return True
-        r = self.s.rules
-        age = self.now - e.info.started_us  # how it warms up is not told: half of a straight way is taken
-        able = r.start_capacity + (1 - r.start_capacity) / 2 * age / r.cold_us
-        part = COLD_SAFETY * r.tip_multiple * able * e.cores * CAPACITY * r.tip_after_us
-        part *= 1 / COLD_TURNS if e.whole else self.even
-        given, turn = e.given.since(self.now - r.tip_after_us), self._turn(e) if e.whole else 1.0
+        part = self._cold_budget(e) * (1 / COLD_TURNS if e.whole else self.even)
+        window_us = self.s.rules.tip_after_us
+        given, turn = e.given.since(self.now - window_us), self._turn(e) if e.whole else 1.0
         return turn <= 1 and given + q.weight * (1 if given else max(turn, 0.5)) <= part
 
+    def _cold_budget(self, e: EngineTable) -> float:
+        """Work, in core microseconds, that all gateways may send a cold engine in one window."""
+        r = self.s.rules
+        age = self.now - max(e.info.latest_start_us, e.info.started_us)
+        # How it warms up is not told: half of a straight way is taken.
+        able = r.start_capacity + (1 - r.start_capacity) / 2 * min(age / r.cold_us, 1.0)
+        return COLD_SAFETY * r.tip_multiple * able * e.cores * CAPACITY * r.tip_after_us
+
     def _turn(self, e: EngineTable) -> float:
         """Departure: where an even part is less than a query, a few have turns, as long as a window and drawn
         alike by all. What is more than a turn's part, twice at most, takes luck in that draw."""
--- a/hollowhitch/policy/interface.py
+++ b/hollowhitch/policy/interface.py
@@ -204,6 +204,7 @@
     state: EngineState
     weight: float
     started_us: int  # 0: long ago
+    latest_start_us: int = 0  # by which it had surely started; 0: when `started_us` says
 
 
 @dataclass(frozen=True, slots=True)
--- a/hollowhitch/policy/state.py
+++ b/hollowhitch/policy/state.py
@@ -451,8 +451,9 @@
         return left and q.cls.effect is api.Effect.SAFE and self.budget_left()
 
     def cold(self, e: EngineTable) -> bool:
-        """Rule 4: is it so new that what it is sent is limited?"""
-        return self.s.rules.tip_multiple > 0 and e.info.started_us > max(self.now - self.s.rules.cold_us, 0)
+        """Rule 4: is it so new, or may it be, that what it is sent is limited?"""
+        started = max(e.info.started_us, e.info.latest_start_us)
+        return self.s.rules.tip_multiple > 0 and started > max(self.now - self.s.rules.cold_us, 0)
 
     def part_cold(self) -> None:
         """Part the cold ones of the ready engines from those that the limit over all is for."""
--- /dev/null
+++ b/tests/test_start_times.py
@@ -0,0 +1,82 @@
+"""Ages of engines told in wall time, by a proxy whose own wall clock may be wrong."""
+
+from __future__ import annotations
+
+import pytest
+
+from hollowhitch.policy import interface as api
+from hollowhitch.policy.start_times import StartTimes
+from tests.conftest import Gateway, S, engine, of, settings
+
+TRUE_WALL = 1_700_000_000 * S  # minus the proxy's own clock
+ERRORS_S = [-3600, -5, -0.5, 0, 0.5, 5, 3600]
+PROCESS_STARTED = 100 * S
+
+
+class Lists:
+    """A proxy that starts with its wall clock wrong by `error_s`, and hears of engines."""
+
+    def __init__(self, error_s: float) -> None:
+        offset = TRUE_WALL + int(error_s * S)
+        self.times = StartTimes(PROCESS_STARTED, lambda wall_us: wall_us - offset)
+
+    def hear(self, now: int, live: bool, **ages_s: float) -> dict[str, api.Engine]:
+        rows = (engine(n, started_us=TRUE_WALL + now - int(age * S)) for n, age in ages_s.items())
+        listed = self.times.translate(api.EngineList(api.ListKind.DELTA, tuple(rows)), now, live)
+        return {e.id: e for e in listed.engines}
+
+
+@pytest.mark.parametrize("error_s", ERRORS_S)
+def test_an_engine_never_passes_for_older_than_it_is(error_s):
+    lists = Lists(error_s)
+    known = lists.hear(PROCESS_STARTED, False, a=30.0, b=2.0)
+    heard = lists.hear(PROCESS_STARTED + 20 * S, True, c=1.0)
+    assert known["b"].latest_start_us >= PROCESS_STARTED - 2 * S
+    assert known["a"].latest_start_us >= PROCESS_STARTED - 30 * S
+    assert heard["c"].latest_start_us >= PROCESS_STARTED + 19 * S
+
+
+@pytest.mark.parametrize("error_s", [-3600, -5, 3600])
+def test_an_engine_does_not_stay_cold_for_long_where_the_clock_is_wrong(error_s):
+    lists = Lists(error_s)
+    heard = lists.hear(PROCESS_STARTED + 20 * S, True, c=1.0)
+    assert heard["c"].latest_start_us <= PROCESS_STARTED + 20 * S
+    assert heard["c"].started_us <= PROCESS_STARTED + 20 * S
+
+
+def test_a_start_told_while_the_process_runs_is_exact_where_the_clock_is_right():
+    lists = Lists(0)
+    lists.hear(PROCESS_STARTED + 20 * S, True, first=0.0)
+    heard = lists.hear(PROCESS_STARTED + 30 * S, True, second=4.0)
+    assert heard["second"].started_us == heard["second"].latest_start_us == PROCESS_STARTED + 26 * S
+
+
+def test_a_start_told_twice_is_one_start_and_a_new_one_is_another():
+    lists = Lists(5)
+    first = lists.hear(PROCESS_STARTED, False, a=30.0)["a"]
+    again = lists.hear(PROCESS_STARTED + 10 * S, True, a=40.0)["a"]
+    restarted = lists.hear(PROCESS_STARTED + 20 * S, True, a=0.5)["a"]
+    assert again == first and restarted.started_us > first.started_us
+
+
+def test_an_engine_that_started_long_ago_is_left_as_it_is():
+    times = StartTimes(PROCESS_STARTED, lambda wall_us: wall_us)
+    listed = api.EngineList(api.ListKind.FULL, (engine("a"),))
+    assert times.translate(listed, PROCESS_STARTED, False) == listed
+
+
+@pytest.mark.parametrize("gateways", [1, 4, 200])
+def test_all_gateways_together_keep_the_cold_budget_where_an_age_is_in_doubt(gateways):
+    """Each believes that the engine is an hour old, as after a step of its wall clock, and is not sure."""
+    new = engine("a", started_us=S, latest_start_us=10 * S)
+    fleet = [
+        Gateway(new, given=settings(gateways=gateways, gateway=i, rules={"cold_us": 5 * S}), seed=i)
+        for i in range(gateways)
+    ]
+    rules = fleet[0].c.s.rules
+    sent = 0.0
+    for gateway in fleet:
+        for _ in range(400 // gateways + 1):
+            sent += sum(0.2 for _ in of(api.Send, gateway.ask(cost_us=200_000)))
+    allowed = rules.tip_multiple * rules.start_capacity * 8 * rules.tip_after_us / S
+    assert 0 < sent <= max(allowed, 0.2 * gateways)
