Tell failures of system calls apart in one table, and live through those that pass

Callers saw: requests refused or failed after a moment in which socket or connect failed here, and a log filled with bare tracebacks while accept failed. Cause: gevent's own accept loop prints each failure and doubles its pause up to 1 s; a failed dial ended all waiting attempts at once, as the engine's fault for EADDRNOTAVAIL and ENETUNREACH, and burnt the request's attempts on EMFILE, ENFILE and ENOBUFS; ENOBUFS on a read or write closed the connection. A cancel is heard within 0.05 s also where bad requests slow a reader down; a client that does not read its answers has its open requests ended before reading stops; after a standstill readers go before writers.

--- a/hollowhitch/__main__.py
+++ b/hollowhitch/__main__.py
@@ -18,8 +18,8 @@
 from hollowhitch.gateway import Gateway
 from hollowhitch.metrics import Metrics
 from hollowhitch.net.channel import ChannelFollower
-from hollowhitch.net.clients import Front
 from hollowhitch.net.engines import EnginePools
+from hollowhitch.net.front import Front
 from hollowhitch.net.heartbeat import Heartbeat
 from hollowhitch.net.timers import Timers
 from hollowhitch.policy.interface import ListKind
@@ -41,14 +41,14 @@
         self.start_times = StartTimes(self.clock.now_us(), self.clock.from_wall_us)
         self.live = False  # lists come from the channel, no longer from the configuration
         timers = Timers()
-        self.pools = EnginePools(config, self.clock, timers.later, self.metrics)
+        self.heartbeat = Heartbeat(self.clock, self.metrics)
+        self.pools = EnginePools(config, self.clock, timers.later, self.metrics, self.heartbeat)
         self.gateway = Gateway(
             config.settings, config.seed, self.pools, timers.later, self.clock, self.metrics
         )
         self.pools.gateway = self.gateway
-        self.heartbeat = Heartbeat(self.clock, self.metrics)
         self.front = Front(config, self.gateway, self.heartbeat)
-        self.channel = ChannelFollower(config.cursor, self.apply, config.seed)
+        self.channel = ChannelFollower(config.cursor, self.apply, self.metrics, config.seed)
         self.end = Event()  # set to end in order
 
     def apply(self, command: Command) -> None:
@@ -106,23 +106,16 @@
     def finish(self) -> None:
         """Nothing taken is lost: warn, take what is on its way, finish what is open, then go."""
         log.event("proxy", "ending", open=self.gateway.unanswered, connections=len(self.front.connections))
-        front = self.front
-        front.closing = True
-        front.warn_all()
+        self.front.drain()
         gevent.sleep(TAKES_S)
-        front.warn_all()  # connections that came meanwhile
-        front.stop_listening()
-        front.closed = True
+        self.front.stop_accepting()
         while self.gateway.unanswered:
             gevent.sleep(POLL_S)
         with gevent.Timeout(WRITTEN_S, False):  # a client that reads nothing must not keep us
-            while not front.written:
-                gevent.sleep(POLL_S)
-        front.end_all()
-        with gevent.Timeout(1.0, False):
-            while front.connections:
+            while self.front.connections:
                 gevent.sleep(POLL_S)
         log.event("proxy", "ended", open=self.gateway.unanswered, connections=len(self.front.connections))
+        self.front.close_all()
         self.write_metrics()
 
     def write_metrics(self) -> None:
--- a/hollowhitch/gateway.py
+++ b/hollowhitch/gateway.py
@@ -145,6 +145,18 @@
             self._over(query)
             self.post(api.ClientLeft(query.arrived.id))
 
+    def give_up(self, query: Query) -> None:
+        """Its client gets its final answer now."""
+        self.post(api.GiveUp(query.arrived.id))
+        if not query.over:  # the module does not know it
+            self._answer(query, Failed())
+
+    def give_up_all(self) -> None:
+        """Every open query gets its final answer now."""
+        for query in list(self.queries.values()):
+            if not query.over:
+                self.give_up(query)
+
     def ended(
         self, attempt: Attempt, outcome: api.Outcome, report: api.LoadReport | None = None, body: bytes = b""
     ) -> None:
--- a/hollowhitch/net/channel.py
+++ b/hollowhitch/net/channel.py
@@ -9,6 +9,7 @@
 
 from hollowhitch import log
 from hollowhitch.config import Address
+from hollowhitch.metrics import Metrics
 from hollowhitch.net.dial import dial
 from hollowhitch.protocol.buffer import ReceiveBuffer
 from hollowhitch.protocol.channel import (
@@ -29,9 +30,11 @@
 
 
 class ChannelFollower:
-    def __init__(self, cursor: int, apply: Callable[[Command], None], seed: int = 0) -> None:
+    def __init__(
+        self, cursor: int, apply: Callable[[Command], None], metrics: Metrics, seed: int = 0
+    ) -> None:
         self._address: Address | None = None
-        self.cursor, self._apply = cursor, apply
+        self.cursor, self._apply, self._metrics = cursor, apply, metrics
         self._gap_at = -1  # the cursor at which a gap was seen
         self._bad = 0
         self._rng = random.Random(seed)
@@ -63,7 +66,7 @@
         return pause * self._rng.uniform(0.5, 1.0)
 
     def _call(self, address: Address) -> None:
-        with dial(address, CONNECT_S) as sock:
+        with dial(address, CONNECT_S, self._metrics) as sock:
             sock.settimeout(SILENT_S)
             host = f"{address[0]}:{address[1]}"
             sock.sendall(format_call(PATH, host, self.cursor))
--- a/hollowhitch/net/clients.py
+++ b/hollowhitch/net/clients.py
@@ -1,70 +1,136 @@
-"""The clients' connections: each with a reader, a writer and a bounded outbox of its own."""
+"""One client's connection: a reader, a writer and a bounded outbox of its own."""
 
 from __future__ import annotations
 
 import array
+import contextlib
+import enum
 import fcntl
 import termios
 import time
+from typing import TYPE_CHECKING
 
 import gevent
 from gevent import socket
-from gevent.server import StreamServer
 
 from hollowhitch import log
-from hollowhitch.config import Config
-from hollowhitch.gateway import Answer, Failed, Gateway, Query, Refused, Served
-from hollowhitch.net.arrivals import Arrivals, Receiver, want_times
-from hollowhitch.net.heartbeat import Heartbeat
+from hollowhitch.gateway import Answer, Failed, Query, Refused, Served
+from hollowhitch.net.arrivals import Receiver, want_times
 from hollowhitch.net.outbox import Outbox
 from hollowhitch.protocol import frames
 from hollowhitch.protocol.tables import table_group
 
-OUTBOX_MOST = 256 * 1024  # bytes that wait for a client before no more is read from it
+if TYPE_CHECKING:
+    from hollowhitch.net.front import Front
+
+OUTBOX_MOST = 256 * 1024  # bytes that wait for a client before its new requests are refused
+OUTBOX_PAUSE = 512 * 1024  # bytes that wait before no more is read from it
 IDLE_S = 30.0  # without a byte while nothing is open, or with a write that does not move
 WHOLE_S = 2.0  # from connecting, or from a frame's first byte, until it is whole
 FRESH_S = 0.25  # after connecting, in which a request may well be on its way
-SWEEP_S = 0.25  # between looks at who is past these times
-LINGER_S = 0.5  # for the client to read what was written, after we have ended
+LINGER_S = 0.5  # for the client to read what was written and to close, after we have shut our side
+UNREAD_S = 0.01  # between looks whether all is read before our side is shut
 TURN = 32  # frames read from one connection before others have a turn
-EVICTED = 8  # connections closed at once to make room: whoever is there too many seldom comes alone
 PACE_S, PACE_MOST_S = 0.01, 0.5  # pause in reading, for each frame so far that could not be used
+PACE_OPEN_MOST_S = 0.05  # of that, while requests are open: a cancel must be heard within 0.1 s
 DISCARD_S = 0.05  # between reads of what follows bytes that were no frame
 LARGE = 8192  # frames above it are looked at before they are buffered
-HALF, IDLE = "no whole frame in time", "idle"
+DRAIN_BYTES, DRAIN_READS = 65_536, 16  # read and thrown away before a socket is closed
+
+
+class CloseReason(enum.Enum):
+    """Why a client's connection was closed by us."""
+
+    IDLE = "idle"
+    NO_WHOLE_FRAME = "no whole frame in time"
+    NO_FRAME = "bytes that are no frame"
+    NO_PLACE = "no place"
+    SHUTDOWN = "shutdown"
+    FAULT = "fault"
 
 
 class ClientConnection:
+    """Reads requests, hands them to the gateway in the order in which they came, writes the answers.
+
+    It ends in two steps. First our side is shut, once all that was read is answered and nothing lies unread;
+    what is read after that crossed the close and is thrown away. Then the socket is closed.
+    """
+
     def __init__(self, front: Front, sock: socket.socket) -> None:
         self.front, self.sock = front, sock
         self.protocol = frames.ClientProtocol()
-        self.outbox = Outbox(sock, OUTBOX_MOST)
+        self.outbox = Outbox(sock, OUTBOX_MOST, OUTBOX_PAUSE)
         self.receiver = Receiver(sock, front.gateway.clock, front.heartbeat)
         self.queries: dict[int, Query] = {}  # by stream
-        self.warned = self.ending = False
+        self.warned = False
+        self.ending = False  # our side will be shut as soon as nothing is open
+        self.shut = False  # our side is shut
+        self.closed = False
         self.asked = False  # it has sent a whole frame
         self.moved = self.frame_since = time.monotonic()  # last byte read or answer; first byte of a frame
         self.offences = 0
+        self._writer: gevent.Greenlet | None = None
 
     def run(self) -> None:
-        self.sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
-        want_times(self.sock)
-        self.sock.settimeout(IDLE_S)
-        writer = gevent.spawn(self._write)
+        """Serve the connection until it is closed."""
         try:
+            with contextlib.suppress(OSError):  # worth having, not worth a client
+                self.sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
+                want_times(self.sock)
+            self.sock.settimeout(IDLE_S)
+            self._writer = gevent.spawn(self._write)
             self._read()
         except OSError:
             pass  # a client that is gone, in whatever way
         except Exception as e:  # a fault of ours costs this connection, with its queries given up below
             log.event("fault", "reading from a client failed", error=repr(e))
+            self._count_close(CloseReason.FAULT)
         finally:
-            for stream, query in list(self.queries.items()):
-                self._forget(stream)
-                self.front.gateway.left(query)
-            self.protocol.open.clear()  # nor is anything taken that was read and has not had its turn
-            self.outbox.close()
-            writer.kill(block=False)
-            self.sock.close()
+            self.close()
+
+    # Its end
+
+    def end(self, reason: CloseReason) -> None:
+        """Shut our side as soon as nothing is open on it, and close it soon after."""
+        if not self.ending:
+            self.ending = True
+            self._count_close(reason)
+            self.outbox.finish()
+
+    def close(self) -> None:
+        """Close it now. Nobody waits for what is still open."""
+        if self.closed:
+            return
+        self.closed = True
+        for stream, query in list(self.queries.items()):
+            self._forget(stream)
+            self.front.gateway.left(query)
+        self.protocol.open.clear()  # nor is anything taken that was read and has not had its turn
+        self.outbox.close()
+        if self._writer is not None and self._writer is not gevent.getcurrent():
+            self._writer.kill(block=False)
+        self.discard_unread()
+        self.sock.close()  # which ends the reader
+        self.front.connections.discard(self)
+
+    def hang_up(self, reason: CloseReason) -> None:
+        """Close it now, for a reason of ours."""
+        self._count_close(reason)
+        self.close()
+
+    def discard_unread(self) -> None:
+        """Closing over unread bytes would reset the connection, and what was written last could be lost."""
+        if not self.shut:
+            return
+        with contextlib.suppress(OSError):
+            self.sock.settimeout(0.0)
+            for _ in range(DRAIN_READS):
+                if not self.sock.recv(DRAIN_BYTES):
+                    return
+
+    def _count_close(self, reason: CloseReason) -> None:
+        self.front.gateway.metrics.client_closes.add(reason.value)
+        log.event("client", "closing", reason=reason.value, open=len(self.queries))
 
     def warn(self) -> None:
         """No new request on this connection, please."""
@@ -72,12 +138,32 @@
             self.warned = True
             self.outbox.put(frames.format_frame(frames.CLOSING, 0))
 
+    def _write(self) -> None:
+        try:
+            while True:
+                self.outbox.run()
+                if not self._owes_an_answer():
+                    break
+                gevent.sleep(UNREAD_S)
+            self.shut = True
+            self.sock.shutdown(socket.SHUT_WR)
+            gevent.sleep(LINGER_S)
+        except OSError:
+            pass
+        self.close()
+
+    def _owes_an_answer(self) -> bool:
+        """Is anything open, unread or half read?"""
+        if self.protocol.broken:
+            return bool(self.protocol.open)
+        return bool(self.protocol.open or len(self.protocol.buffer) or self.pending())
+
+    # Reading
+
     def _read(self) -> None:
         protocol = self.protocol
-        while True:
-            if self.outbox.full:
-                self.receiver.pause()
-                self.outbox.wait_for_room()
+        while not self.closed:
+            self._wait_for_room()
             try:
                 with protocol.buffer.room() as room:
                     count, at_us = self.receiver.receive(room)
@@ -85,6 +171,8 @@
                 continue  # who is silent for too long is the sweep's to tell
             if count == 0:
                 return
+            if self.shut:  # it crossed our close; its client sends it again
+                continue
             self.moved, offences = time.monotonic(), self.offences
             if not len(protocol.buffer):
                 self.frame_since = self.moved
@@ -96,28 +184,44 @@
                 if turn % TURN == 0:
                     self.receiver.pause()
                     gevent.sleep(0)
-            if protocol.broken or self.offences > offences:
-                self.receiver.pause()
-            if protocol.broken:  # what comes now is thrown away, and must not cost the other clients our time
-                gevent.sleep(DISCARD_S)
-            elif self.offences > offences:
-                gevent.sleep(min(self.offences * PACE_S, PACE_MOST_S))
-
-    def overdue(self, now: float) -> str | None:
+            self._pace(self.offences > offences)
+
+    def _wait_for_room(self) -> None:
+        """Guards memory against a client that asks and does not read. It is not heard meanwhile, so what is
+        open for it is ended now: no attempt may begin once it has gone."""
+        if self.outbox.over_pause:
+            self.receiver.pause()
+            for query in list(self.queries.values()):
+                self.front.gateway.give_up(query)
+            self.outbox.wait_for_room()
+
+    def _pace(self, offended: bool) -> None:
+        if self.protocol.broken:  # what comes now is thrown away, and must not cost the others our time
+            self.receiver.pause()
+            gevent.sleep(DISCARD_S)
+        elif offended:
+            self.receiver.pause()
+            most = PACE_OPEN_MOST_S if self.protocol.open else PACE_MOST_S
+            gevent.sleep(min(self.offences * PACE_S, most))
+
+    def overdue(self, now: float) -> CloseReason | None:
         """Why it is to be closed by now, if it is. One that is quiet between requests may be
         so for long, one that never came to the point or stopped within a frame may not."""
         if self.ending or self.protocol.broken:
             return None
         if not self.asked or len(self.protocol.buffer) or self.protocol.skipping:
-            return HALF if now - self.frame_since > WHOLE_S else None
+            return CloseReason.NO_WHOLE_FRAME if now - self.frame_since > WHOLE_S else None
         quiet = not self.protocol.open and self.outbox.idle
-        return IDLE if quiet and now - self.moved > IDLE_S else None
+        return CloseReason.IDLE if quiet and now - self.moved > IDLE_S else None
 
-    def end_overdue(self, why: str) -> None:
-        if why == IDLE:
-            self.hang_up()
-        elif not self.pending():  # else it is we who are late
-            self._take(self.protocol.give_up(why), 0)
+    def end_overdue(self, reason: CloseReason) -> None:
+        if self.pending():
+            return  # it is we who are late
+        if reason is CloseReason.IDLE:
+            self.end(reason)
+        else:
+            self._count_close(reason)
+            self._take(self.protocol.give_up(reason.value), 0)
 
     def rank(self, now: float) -> int | None:
         """Whom to part with first where all places are taken; None: it waits for an answer of ours."""
@@ -132,25 +236,12 @@
     def pending(self) -> bool:
         """Has it sent what we have not read yet?"""
         count = array.array("i", [0])
-        if not self.outbox.closed:
-            fcntl.ioctl(self.sock.fileno(), termios.FIONREAD, count)
+        if not self.closed:
+            with contextlib.suppress(OSError):
+                fcntl.ioctl(self.sock.fileno(), termios.FIONREAD, count)
         return count[0] > 0
 
-    def hang_up(self) -> None:
-        self.outbox.close()
-        self.sock.close()  # which ends the reader
-        self.front.connections.discard(self)
-
-    def _write(self) -> None:
-        try:
-            self.outbox.run()
-            self.sock.shutdown(socket.SHUT_WR)
-            self.sock.settimeout(LINGER_S)
-            gevent.sleep(LINGER_S)
-        except OSError:
-            pass
-        self.outbox.close()
-        self.sock.close()  # which ends the reader too
+    # Requests and answers
 
     def _take(self, event: frames.FrameEvent, at_us: int) -> None:
         match event:
@@ -168,7 +259,7 @@
             case frames.BadRequest():
                 self.offences += 1
                 if event.crowded:
-                    self._answer(event.stream, self.front.turned_away())
+                    self._answer(event.stream, self.front.turned_away("crowded"))
                 else:
                     self._bad(event.stream, event.reason)
             case frames.Duplicate():
@@ -191,8 +282,8 @@
         front = self.front
         if event.stream not in self.protocol.open:  # its client has left meanwhile
             return
-        if front.closed or front.crowded(len(event.body)):
-            self._answer(event.stream, front.turned_away())
+        if (why := front.turns_away(len(event.body))) or self.outbox.full:
+            self._answer(event.stream, front.turned_away(why or "client reads too slowly"))
             return
         try:
             group = table_group(event.body.decode("utf-8", "replace"))
@@ -245,99 +336,9 @@
 
     def _end_if_done(self) -> None:
         """After bytes that were no frame, what had been taken before is still answered; then we end."""
-        if self.protocol.broken and not self.protocol.open and not self.ending:
-            self.ending = True
-            self.outbox.finish()
+        if self.protocol.broken and not self.protocol.open:
+            self.end(CloseReason.NO_FRAME)
 
 
 def _error(stream: int, reason: str) -> bytes:
     return frames.format_answer(stream, frames.FAILED, {}, reason.encode())
-
-
-class Front:
-    """The listener and all its connections."""
-
-    def __init__(self, config: Config, gateway: Gateway, heartbeat: Heartbeat) -> None:
-        self.config, self.gateway, self.heartbeat = config, gateway, heartbeat
-        self.arrivals = Arrivals()
-        self.terms = frames.Terms(config.settings)
-        self.refs: set[str] = set()  # of the requests that are open
-        self.connections: set[ClientConnection] = set()
-        self.held = 0  # bytes of the statements that are open
-        self.closing = self.closed = False  # asked to end; takes nothing new
-        self._server = StreamServer(config.listen, self._serve, backlog=512)
-
-    def start(self) -> None:
-        self._server.start()
-        gevent.spawn(self._sweep_forever)
-
-    def _sweep_forever(self) -> None:
-        while True:
-            gevent.sleep(SWEEP_S)
-            now = time.monotonic()
-            for connection in list(self.connections):
-                if why := connection.overdue(now):
-                    connection.end_overdue(why)
-
-    def ready(self) -> bool:
-        return not self.closing and any(self.gateway.controller.open_for)
-
-    def crowded(self, more: int) -> bool:
-        """Guards the memory limit, and the module's own limit on open queries."""
-        return self.gateway.unanswered >= self.config.open_most or not self.room_for(more)
-
-    def room_for(self, size: int) -> bool:
-        """Can so many bytes more be held for clients?"""
-        held = sum(c.outbox.size + len(c.protocol.buffer.data) for c in self.connections)
-        return self.held + held + size <= self.config.held_most
-
-    def _make_room(self) -> bool:
-        """Guards the usual clients against those that come by the hundred or keep what they do not use.
-        Letting them wait in the kernel's queue would be worse: what they send there counts as taken by us."""
-        if len(self.connections) < self.config.clients_most:
-            return True
-        now = time.monotonic()
-        ranked = [(rank, c.moved, id(c), c) for c in self.connections if (rank := c.rank(now)) is not None]
-        free = EVICTED
-        for rank, _, _, connection in sorted(ranked):
-            if rank != 0 and (connection.pending() or len(connection.protocol.buffer)):
-                continue
-            connection.hang_up()
-            free -= 1
-            if not free or rank == 3:
-                break
-        return len(self.connections) < self.config.clients_most
-
-    def turned_away(self) -> Refused:
-        return Refused(self.gateway.settings.limits.retry_after_us or 0)
-
-    def warn_all(self) -> None:
-        for connection in list(self.connections):
-            connection.warn()
-
-    @property
-    def address(self) -> tuple[str, int]:
-        return self._server.address
-
-    def stop_listening(self) -> None:
-        self._server.close()
-
-    @property
-    def written(self) -> bool:
-        return all(c.outbox.idle for c in self.connections)
-
-    def end_all(self) -> None:
-        for connection in list(self.connections):
-            connection.ending = True
-            connection.outbox.finish()
-
-    def _serve(self, sock: socket.socket, _address: object) -> None:
-        if not self._make_room():
-            sock.close()
-            return
-        connection = ClientConnection(self, sock)
-        self.connections.add(connection)
-        try:
-            connection.run()
-        finally:
-            self.connections.discard(connection)
--- a/hollowhitch/net/engines.py
+++ b/hollowhitch/net/engines.py
@@ -3,7 +3,6 @@
 from __future__ import annotations
 
 import contextlib
-import errno
 import functools
 from collections import deque
 from collections.abc import Mapping
@@ -16,7 +15,9 @@
 from hollowhitch.config import Address, Config
 from hollowhitch.gateway import Attempt, CallLater, Gateway
 from hollowhitch.metrics import Metrics
-from hollowhitch.net.dial import dial
+from hollowhitch.net.dial import DialError, dial
+from hollowhitch.net.failures import Blame, Call, blame
+from hollowhitch.net.heartbeat import Heartbeat
 from hollowhitch.net.outbox import Outbox
 from hollowhitch.policy.interface import EngineList, EngineState, ListKind, LoadReport, Outcome, ProbeEnded
 from hollowhitch.protocol.lines import EngineProtocol
@@ -28,7 +29,7 @@
 ALONE_MORE = 2  # connections to an engine over the usual number, for queries on which one has broken
 CARE_US = 100_000  # between looks for connections that have stopped
 AMID_US, SILENT_US, OVERDUE = 500_000, 3_000_000, 4  # an answer that stops short; silent; times the estimate
-OURS = (errno.EMFILE, errno.ENFILE, errno.ENOBUFS)  # a dial that failed for want of something here, not there
+RETRY_S, RETRIES_MOST = 0.005, 40  # after a read that failed for want of something here
 TOLD_S = 0.004  # a STOP is on its way this long before a further attempt may leave
 
 
@@ -36,7 +37,7 @@
     def __init__(self, pool: Pool, sock: socket.socket) -> None:
         self.pool, self.sock = pool, sock
         self.protocol = EngineProtocol(pool.owner.reports)
-        self.outbox = Outbox(sock, OUTBOX_MOST)
+        self.outbox = Outbox(sock, OUTBOX_MOST, before_write=pool.owner.heartbeat.catch_up)
         self.attempts: dict[str, Attempt] = {}  # by ref: those written or about to be
         self.written: set[str] = set()
         self.probes: dict[str, int] = {}  # tag: when it was sent
@@ -109,7 +110,7 @@
         try:
             while not self.closed:
                 with protocol.buffer.room() as room:
-                    count = self.sock.recv_into(room)
+                    count = self._receive(room)
                 if count == 0:
                     return self.close("ended by the engine")
                 self.heard_us, self.suspect = self.pool.owner.clock.now_us(), False
@@ -129,6 +130,17 @@
             log.event("fault", "reading from an engine failed", engine=self.pool.id, error=repr(e))
             self.close("fault")
 
+    def _receive(self, room: memoryview) -> int:
+        failures = 0
+        while True:
+            try:
+                return self.sock.recv_into(room)
+            except OSError as e:
+                failures += 1
+                if blame(Call.RECEIVE, e) is not Blame.OURS or failures > RETRIES_MOST:
+                    raise
+                gevent.sleep(RETRY_S)
+
     def _finished(self, ref: str, outcome: Outcome, report: LoadReport | None, body: bytes) -> None:
         owner = self.pool.owner
         self.used_us = owner.clock.now_us()
@@ -161,6 +173,7 @@
         if self.closed:
             return
         self.closed = True
+        self.pool.owner.metrics.engine_closes.add(why.partition(":")[0] or "idle, drained or spoilt")
         if why and self.attempts:
             log.event("engine", "closed", engine=self.pool.id, reason=why, attempts=",".join(self.attempts))
         self.outbox.close()
@@ -215,11 +228,11 @@
     def _dial(self) -> None:
         address = self.address
         try:
-            sock = dial(address, self.owner.config.dial_timeout_us / 1e6)
-        except OSError as e:
-            log.event("engine", "connect failed", engine=self.id, error=e)
+            sock = dial(address, self.owner.config.dial_timeout_us / 1e6, self.owner.metrics)
+        except DialError as e:
+            log.event("engine", "connect failed", engine=self.id, error=e, blame=e.blame.value)
             self.dialing = False
-            outcome = Outcome.MOOT if e.errno in OURS else Outcome.CONNECT_FAILED
+            outcome = Outcome.MOOT if e.blame is Blame.OURS else Outcome.CONNECT_FAILED
             waiting, self.waiting = self.waiting, deque()
             for attempt in waiting:
                 self.owner.gateway.ended(attempt, outcome)
@@ -257,8 +270,11 @@
 class EnginePools:
     gateway: Gateway  # set once both stand
 
-    def __init__(self, config: Config, clock: Clock, call_later: CallLater, metrics: Metrics) -> None:
+    def __init__(
+        self, config: Config, clock: Clock, call_later: CallLater, metrics: Metrics, heartbeat: Heartbeat
+    ) -> None:
         self.config, self.clock, self.call_later, self.metrics = config, clock, call_later, metrics
+        self.heartbeat = heartbeat
         self.reports = config.settings.reports_with_answers
         self.pools: dict[str, Pool] = {}
         self._tags = 0
--- a/hollowhitch/net/heartbeat.py
+++ b/hollowhitch/net/heartbeat.py
@@ -12,6 +12,8 @@
 
 PERIOD_US = 50_000
 DRIFT_US = 500  # between the clocks, before their difference is taken anew
+STALE_US = 50_000  # since the loop looked for what had come
+POLLS = 2  # turns of the loop in which it surely looks and readers are heard
 STANDSTILL_US = 40_000  # late by more is worth a line
 
 
@@ -26,15 +28,28 @@
         self._clock, self._metrics, self._on_step = clock, metrics, on_step
         self.alive_us = self._beat_us = clock.now_us()
         self.offset_us = self._beat_offset_us = clock.wall_offset_us()
+        self.polled_us = self._beat_us  # when the loop last looked for what had come
+        self._watcher = gevent.get_hub().loop.check()
 
     def start(self) -> None:
         gevent.spawn(self._run)
+        self._watcher.start(self._polled)
 
     def _run(self) -> None:
         while True:
             gevent.sleep(PERIOD_US / US_PER_S)
             self.beat()
 
+    def _polled(self) -> None:
+        self.polled_us = self._clock.now_us()
+
+    def catch_up(self) -> None:
+        """Wait until all that had come by now was read, if the loop has not looked for a while: no request
+        may be sent on while its client's cancel lies here unread."""
+        if self._clock.now_us() - self.polled_us > STALE_US:
+            for _ in range(POLLS):
+                gevent.sleep(0)
+
     def beat(self) -> None:
         """The loop runs: say so if it stood still, or if the wall clock was stepped."""
         now_us = self._clock.now_us()
--- a/hollowhitch/net/outbox.py
+++ b/hollowhitch/net/outbox.py
@@ -5,17 +5,33 @@
 from collections import deque
 from collections.abc import Callable
 
+import gevent
 from gevent import socket
 from gevent.event import Event
 
+from hollowhitch.net.failures import Blame, Call, blame
+
 Item = bytes | Callable[[], bytes]  # the latter is asked for its bytes just before they are written
 
+CHUNK = 65_536  # bytes gathered for one write
+RETRY_S = 0.005  # after a write that failed for want of something here
+RETRIES_MOST = 40
+
 
 class Outbox:
-    def __init__(self, sock: socket.socket, most: int) -> None:
+    """Bytes on their way out. `before_write` may wait, before lazily made bytes are asked for."""
+
+    def __init__(
+        self,
+        sock: socket.socket,
+        most: int,
+        pause_at: int | None = None,
+        before_write: Callable[[], None] | None = None,
+    ) -> None:
         self.size = 0
         self.closed = False
-        self._sock, self._most = sock, most
+        self._sock, self._most, self._pause_at = sock, most, pause_at or most
+        self._before_write = before_write
         self._items: deque[tuple[Item, int]] = deque()
         self._wake, self._room = Event(), Event()
         self._room.set()
@@ -26,6 +42,10 @@
     def full(self) -> bool:
         return self.size > self._most
 
+    @property
+    def over_pause(self) -> bool:
+        return self.size > self._pause_at
+
     def put(self, item: Item, size: int | None = None) -> None:
         if self.closed:
             return
@@ -33,7 +53,7 @@
         self._items.append((item, size))
         self.size += size
         self.idle = False
-        if self.full:
+        if self.over_pause:
             self._room.clear()
         self._wake.set()
 
@@ -42,7 +62,7 @@
         self._room.wait()
 
     def finish(self) -> None:
-        """Write what waits, then end."""
+        """Let `run` return once nothing waits."""
         self._finish = True
         self._wake.set()
 
@@ -63,14 +83,30 @@
                 self._wake.clear()
                 self._wake.wait()
                 continue
+            if self._before_write is not None:
+                self._before_write()
             chunk = bytearray()
             size = 0
-            while self._items and len(chunk) < 65_536:
+            while self._items and len(chunk) < CHUNK:
                 item, length = self._items.popleft()
                 chunk += item if isinstance(item, bytes) else item()
                 size += length
             if chunk:
-                self._sock.sendall(chunk)
+                self._send(chunk)
             self.size = max(0, self.size - size)
-            if not self.full:
+            if not self.over_pause:
                 self._room.set()
+
+    def _send(self, chunk: bytearray) -> None:
+        """Write it all, in as many pieces as the kernel takes."""
+        sent, failures = 0, 0
+        with memoryview(chunk) as view:
+            while sent < len(view):
+                try:
+                    sent += self._sock.send(view[sent:])
+                    failures = 0
+                except OSError as e:
+                    failures += 1
+                    if blame(Call.SEND, e) is not Blame.OURS or failures > RETRIES_MOST:
+                        raise
+                    gevent.sleep(RETRY_S)
--- a/hollowhitch/policy/interface.py
+++ b/hollowhitch/policy/interface.py
@@ -278,6 +278,13 @@
     id: str
 
 
+@dataclass(frozen=True, slots=True)
+class GiveUp:
+    """The query has to have its final answer now: its gateway ends, or its client can't be heard."""
+
+    id: str
+
+
 @dataclass(frozen=True, slots=True)
 class TimerFired:
     label: int
@@ -298,7 +305,7 @@
 
 
 Event = (
-    EngineList | QueryArrived | StreamBegan | Note | AttemptEnded | ClientLeft | TimerFired
+    EngineList | QueryArrived | StreamBegan | Note | AttemptEnded | ClientLeft | GiveUp | TimerFired
     | ProbeEnded | MessageReceived
 )
 
@@ -313,6 +320,7 @@
     OVER_SHARE = "over_share"  # of a tenant past its quota, while it would have to wait
     LEAST_WORTH = "least_worth"  # held work is more than can be done, and it earned least for its work
     NO_ATTEMPT_LEFT = "no_attempt_left"  # it may not be sent again
+    GIVEN_UP = "given_up"  # its gateway ends, or its client can't be heard
     UNKNOWN = "unknown"
 
 
--- a/hollowhitch/policy/state.py
+++ b/hollowhitch/policy/state.py
@@ -378,6 +378,7 @@
             api.TimerFired: self._fired,
             api.StreamBegan: self._began,
             api.ClientLeft: self._left,
+            api.GiveUp: self._given_up,
             api.QueryArrived: self._arrived,
             api.AttemptEnded: self._ended,
             api.Note: self._noted,
@@ -594,6 +595,11 @@
         if ev.id in self.queries:
             self.close(self.queries[ev.id])
 
+    def _given_up(self, ev: api.GiveUp) -> None:
+        q = self.queries.get(ev.id)
+        if q is not None and not q.done:
+            self.end(q, api.EndReason.GIVEN_UP)
+
     def found(self, ev: api.Note | api.AttemptEnded) -> tuple[Query, Attempt] | tuple[None, None]:
         """The query and attempt that an event speaks of, if that attempt is still out."""
         q = self.queries.get(ev.id)
--- a/tests/test_channel.py
+++ b/tests/test_channel.py
@@ -8,6 +8,7 @@
 from hypothesis import given
 from hypothesis import strategies as st
 
+from hollowhitch.metrics import Metrics
 from hollowhitch.net import channel
 from hollowhitch.net.channel import BAD_MOST, ChannelFollower
 from hollowhitch.policy.interface import EngineState, ListKind
@@ -53,14 +54,14 @@
 
 
 def test_pauses_of_proxies_with_other_seeds_differ_and_never_grow():
-    drawn = [ChannelFollower(0, lambda command: None, seed).drawn(0.5) for seed in range(40)]
+    drawn = [ChannelFollower(0, lambda command: None, Metrics(), seed).drawn(0.5) for seed in range(40)]
     assert all(0.25 <= pause <= 0.5 for pause in drawn)
     assert max(sum(abs(a - b) < 0.01 for b in drawn) for a in drawn) < 10
 
 
 def follower() -> tuple[ChannelFollower, list[int]]:
     seen: list[int] = []
-    return ChannelFollower(3, lambda command: seen.append(command.cursor)), seen
+    return ChannelFollower(3, lambda command: seen.append(command.cursor), Metrics()), seen
 
 
 def test_an_event_is_applied_once():
--- a/tests/test_proxy.py
+++ b/tests/test_proxy.py
@@ -21,7 +21,8 @@
 from hollowhitch import __main__ as program
 from hollowhitch import config as configuration
 from hollowhitch import log
-from hollowhitch.net import clients
+from hollowhitch.metrics import Metrics
+from hollowhitch.net import clients, front
 from hollowhitch.net import engines as engines_module
 from hollowhitch.net.dial import dial
 from hollowhitch.net.timers import Timers
@@ -124,7 +125,7 @@
     with gevent.Timeout(30):
         yield begin
     for proxy in proxies:
-        proxy.front.stop_listening()
+        proxy.front.stop_accepting()
 
 
 def test_a_request_is_served_with_all_its_pages(start):
@@ -331,7 +332,7 @@
 
 def test_who_says_nothing_or_half_is_closed_and_who_is_quiet_between_requests_is_not(start, monkeypatch):
     monkeypatch.setattr(clients, "WHOLE_S", 0.05)
-    monkeypatch.setattr(clients, "SWEEP_S", 0.01)
+    monkeypatch.setattr(front, "SWEEP_S", 0.01)
     proxy, _ = start(rows)
     quiet, half, mute = Client(proxy), Client(proxy), Client(proxy)
     quiet.ask(1)
@@ -349,7 +350,7 @@
 
 def test_where_all_places_are_taken_the_longest_quiet_makes_room(start, monkeypatch):
     """Guards against clients that keep what they do not use: others would wait unread, but count as taken."""
-    monkeypatch.setattr(clients, "EVICTED", 1)
+    monkeypatch.setattr(front, "EVICTED", 1)
     proxy, (engine,) = start(silent)
     limited(proxy, clients_most=3)
     busy, first, second = Client(proxy), Client(proxy), Client(proxy)
@@ -411,11 +412,11 @@
     """Guards the first query on each engine against 25 ms in a resolver's thread."""
     monkeypatch.setattr(gevent.get_hub().resolver, "getaddrinfo", lambda *a, **k: 1 / 0)
     proxy, (engine,) = start(rows)
-    with dial(("127.0.0.1", engine.port), 5) as sock:
+    with dial(("127.0.0.1", engine.port), 5, Metrics()) as sock:
         assert sock.getpeername()[1] == engine.port
     engine.server.stop()
     with pytest.raises(OSError):
-        dial(("127.0.0.1", engine.port), 5)
+        dial(("127.0.0.1", engine.port), 5, Metrics())
 
 
 def test_calls_made_later_come_in_order_and_not_once_cancelled():
--- a/tests/test_size.py
+++ b/tests/test_size.py
@@ -102,7 +102,7 @@
         most = max(most, proxy.pools.sockets)
     assert proxy.config.engines_sockets_most == 16 and 8 < most <= 16
     assert len(proxy.pools.pools) == 400
-    proxy.front.stop_listening()
+    proxy.front.stop_accepting()
 
 
 @pytest.mark.usefixtures("time_limit")
@@ -124,7 +124,7 @@
     engine.until("STOP")
     while proxy.gateway.unanswered:
         gevent.sleep(0.001)
-    proxy.front.stop_listening()
+    proxy.front.stop_accepting()
 
 
 @pytest.mark.usefixtures("time_limit")
@@ -144,7 +144,7 @@
         gevent.sleep(0)
     assert not pools.make_room(needed=False)
     assert pools.make_room(needed=True) and pools.sockets == 7
-    proxy.front.stop_listening()
+    proxy.front.stop_accepting()
 
 
 @pytest.mark.usefixtures("time_limit")
@@ -167,4 +167,4 @@
         assert sum(not c.closed for c in opened) == proxy.pools.sockets
         before = before or now
         assert now[0] <= before[0] + 40 and now[1] <= before[1] + 80  # of one turn's connections, not of six
-    proxy.front.stop_listening()
+    proxy.front.stop_accepting()
