End a process within a budget worked out from the settings, every request answered

Cause: Proxy.finish had fixed stages (0.9 s, an unbounded wait for open requests, 2 s, 1 s, a linger of 0.5 s) that knew nothing of the settings' deadlines. With a hung server and a deadline of 20 s it waited for 20 s; with a deadline of 0.5 s, SIGKILL may come after 1.2 s, and the stages alone took 1.4 s. Change: shutdown.py plans the stages from the longest deadline (3 s at most, plus 0.7 s, less a margin of 0.15 s): connections are accepted and requests served for up to 0.9 s, then refused with their wait while each connection is ended once nothing is open on it, then all that is open gets its final answer, then what is left is closed. The decision module words the last answers (event GiveUp): a refusal where it is harmless, else a failure. The process exits without the interpreter's own clearing up. Why it works: no stage waits for anything but the clock; a client that reads nothing, a hung server or a second signal prolongs none.

--- a/hollowhitch/__main__.py
+++ b/hollowhitch/__main__.py
@@ -7,7 +7,8 @@
 import os
 import signal
 import sys
-from collections.abc import Mapping
+import time
+from collections.abc import Callable, Mapping
 
 import gevent
 from gevent.event import Event
@@ -25,10 +26,9 @@
 from hollowhitch.policy.interface import ListKind
 from hollowhitch.policy.start_times import StartTimes
 from hollowhitch.protocol.channel import Command
+from hollowhitch.shutdown import plan_shutdown
 
-TAKES_S = 0.9  # after SIGTERM: how long what still comes is taken and served
-POLL_S = 0.02
-WRITTEN_S = 2.0  # once all is answered: for clients to take it
+POLL_S = 0.02  # between looks whether a stage of the end is over
 READ_ANEW, NEW_EACH_TIME = ("channel",), ("known", "cursor", "seed")  # at SIGHUP; with every file
 COLLECT_EVERY = 20_000  # new objects between collections: short ones, but not for every few queries
 
@@ -104,20 +104,35 @@
         return 0
 
     def finish(self) -> None:
-        """Nothing taken is lost: warn, take what is on its way, finish what is open, then go."""
-        log.event("proxy", "ending", open=self.gateway.unanswered, connections=len(self.front.connections))
+        """End within the budget that the settings give, with every request answered."""
+        began = time.monotonic()
+        plan = plan_shutdown(self.config.settings.classes)
+        self._log_stage("draining", began)
         self.front.drain()
-        gevent.sleep(TAKES_S)
+        self._wait_until(began + plan.accept_until_s, lambda: False)
+        self._log_stage("accepts and takes nothing more", began)
         self.front.stop_accepting()
-        while self.gateway.unanswered:
-            gevent.sleep(POLL_S)
-        with gevent.Timeout(WRITTEN_S, False):  # a client that reads nothing must not keep us
-            while self.front.connections:
-                gevent.sleep(POLL_S)
-        log.event("proxy", "ended", open=self.gateway.unanswered, connections=len(self.front.connections))
+        self._wait_until(began + plan.answer_by_s, lambda: not self.front.connections)
+        self._log_stage("ends what is open", began)
+        self.gateway.give_up_all()
+        self._wait_until(began + plan.exit_by_s, lambda: not self.front.connections)
+        self._log_stage("ended", began)
         self.front.close_all()
         self.write_metrics()
 
+    def _wait_until(self, until: float, done: Callable[[], bool]) -> None:
+        while (left := until - time.monotonic()) > 0 and not done():
+            gevent.sleep(min(POLL_S, left))
+
+    def _log_stage(self, stage: str, began: float) -> None:
+        log.event(
+            "shutdown",
+            stage,
+            after_ms=round((time.monotonic() - began) * 1000),
+            open=self.gateway.unanswered,
+            connections=len(self.front.connections),
+        )
+
     def write_metrics(self) -> None:
         """All counters and histograms to standard error, in the Prometheus text format."""
         sys.stderr.write(self.metrics.text())
@@ -134,4 +149,6 @@
 
 
 if __name__ == "__main__":
-    sys.exit(main())
+    code = main()
+    sys.stderr.flush()
+    os._exit(code)  # the interpreter's own clearing up would count against the budget
--- a/tests/test_proxy.py
+++ b/tests/test_proxy.py
@@ -28,6 +28,7 @@
 from hollowhitch.net.timers import Timers
 from hollowhitch.protocol import frames
 from hollowhitch.protocol.channel import parse_command
+from hollowhitch.shutdown import ShutdownPlan
 from tests import boot
 
 FIELDS = {"service": "q", "ref": "00000000000000aa", "allow": "6000"}
@@ -111,7 +112,7 @@
 
 @pytest.fixture
 def start(monkeypatch):
-    monkeypatch.setattr(program, "TAKES_S", 0.05)
+    monkeypatch.setattr(program, "plan_shutdown", lambda classes: ShutdownPlan(0.05, 5.0, 5.2))
     proxies = []
 
     def begin(*speakers: Speak) -> tuple[program.Proxy, list[Engine]]:
@@ -456,7 +457,7 @@
 
 
 def test_a_client_that_reads_nothing_does_not_keep_the_proxy_from_ending(start, monkeypatch):
-    monkeypatch.setattr(program, "WRITTEN_S", 0.05)
+    monkeypatch.setattr(program, "plan_shutdown", lambda classes: ShutdownPlan(0.05, 0.1, 0.15))
     proxy, _ = start(rows)
     mute = Client(proxy)
     mute.send(frames.ASK_READY, 1)
