Refuse at once what cannot be done before the end, and tolerate small doubts about ages

Cause, as far as it is known: a request that came while the process was ending and needed longer than it had was taken all the same and cut off at the end, its client's time gone; and a start told by a late list kept an engine cold for as long as the list was late. Change: event Closing tells the module when its gateway ends: what is held and can be refused is refused then, and so is each new request that cannot be done in time. Ages may be in doubt by as much as the slow-start budget's safety factor covers, a fifth of the time of warming up at most.

--- a/hollowhitch/__main__.py
+++ b/hollowhitch/__main__.py
@@ -5,6 +5,7 @@
 import dataclasses
 import gc
 import os
+import resource
 import signal
 import sys
 import time
@@ -15,7 +16,7 @@
 
 from hollowhitch import config as configuration
 from hollowhitch import log
-from hollowhitch.clock import Clock
+from hollowhitch.clock import US_PER_S, Clock
 from hollowhitch.gateway import Gateway
 from hollowhitch.metrics import Metrics
 from hollowhitch.net.channel import ChannelFollower
@@ -23,6 +24,7 @@
 from hollowhitch.net.front import Front
 from hollowhitch.net.heartbeat import Heartbeat
 from hollowhitch.net.timers import Timers
+from hollowhitch.policy.control import tolerated_doubt_us
 from hollowhitch.policy.interface import ListKind
 from hollowhitch.policy.start_times import StartTimes
 from hollowhitch.protocol.channel import Command
@@ -38,7 +40,9 @@
         self.config = config
         self.clock = Clock()
         self.metrics = Metrics()
-        self.start_times = StartTimes(self.clock.now_us(), self.clock.from_wall_us)
+        self.start_times = StartTimes(
+            self.clock.now_us(), self.clock.from_wall_us, tolerated_doubt_us(config.settings.rules)
+        )
         self.live = False  # lists come from the channel, no longer from the configuration
         timers = Timers()
         self.heartbeat = Heartbeat(self.clock, self.metrics)
@@ -109,6 +113,7 @@
         plan = plan_shutdown(self.config.settings.classes)
         self._log_stage("draining", began)
         self.front.drain()
+        self.gateway.closing(int(plan.answer_by_s * US_PER_S))
         self._wait_until(began + plan.accept_until_s, lambda: False)
         self._log_stage("accepts and takes nothing more", began)
         self.front.stop_accepting()
@@ -135,6 +140,8 @@
 
     def write_metrics(self) -> None:
         """All counters and histograms to standard error, in the Prometheus text format."""
+        self.metrics.cpu_seconds.value = time.process_time()
+        self.metrics.memory_bytes.value = resource.getrusage(resource.RUSAGE_SELF).ru_maxrss * 1024
         sys.stderr.write(self.metrics.text())
         sys.stderr.flush()
 
--- a/hollowhitch/gateway.py
+++ b/hollowhitch/gateway.py
@@ -145,6 +145,10 @@
             self._over(query)
             self.post(api.ClientLeft(query.arrived.id))
 
+    def closing(self, ends_in_us: int) -> None:
+        """The process ends: the module is told how long it can still serve."""
+        self.post(api.Closing(ends_in_us))
+
     def give_up(self, query: Query) -> None:
         """Its client gets its final answer now."""
         self.post(api.GiveUp(query.arrived.id))
--- a/hollowhitch/metrics.py
+++ b/hollowhitch/metrics.py
@@ -56,6 +56,18 @@
         yield f"{self.name}_count {below}"
 
 
+class Gauge:
+    """One value."""
+
+    def __init__(self, name: str, help_text: str) -> None:
+        self.name, self.help_text, self.value = name, help_text, 0.0
+
+    def lines(self) -> Iterator[str]:
+        yield f"# HELP {self.name} {self.help_text}"
+        yield f"# TYPE {self.name} gauge"
+        yield f"{self.name} {self.value}"
+
+
 class Metrics:
     """All metrics of one process. Each is counted where the event happens."""
 
@@ -79,9 +91,12 @@
         self.ejections = Counter("hollowhitch_ejections_total", "reason", "Engines ejected, by the reason.")
         self.clock_steps = Counter("hollowhitch_clock_steps_total", "way", "Steps of the wall clock, by way.")
         self.latency = Histogram("hollowhitch_latency_seconds", "From taking a request to its answer.")
+        self.cpu_seconds = Gauge("hollowhitch_cpu_seconds", "Processor time used.")
+        self.memory_bytes = Gauge("hollowhitch_memory_bytes", "The most memory held so far.")
         self.standstills = Histogram("hollowhitch_standstill_seconds", "Times the event loop stood still.")
 
     def text(self) -> str:
         """Everything, in the Prometheus text format."""
-        families = (family for family in vars(self).values() if isinstance(family, Counter | Histogram))
+        kinds = Counter | Histogram | Gauge
+        families = (family for family in vars(self).values() if isinstance(family, kinds))
         return "\n".join(line for family in families for line in family.lines()) + "\n"
--- a/hollowhitch/policy/control.py
+++ b/hollowhitch/policy/control.py
@@ -42,6 +42,7 @@
 DRAIN_STEP, DRAIN_LEAST = 0.1, 0.2  # weight of a round in the drain rate; its least, in our even part
 SILENT_US, OVERDUE = 1_000_000, 4.0  # silent: says nothing so long with work this far past its time
 STALL_US, COLD_SAFETY, COLD_TURNS = 300_000, 0.6, 2  # late timer: we stood still; of a cold budget; gateways
+DOUBT_SHARE = 0.2  # of the time in which an engine warms up: the most that its age may be in doubt by
 ERROR_SHARE, ERROR_STEP, ILL_MOST = 0.3, 0.15, 0.5  # failures that eject; weight of one; ill: a shared cause
 EJECT_US, EJECT_MOST_US = 2_000_000, 8_000_000  # rest before a trial; doubles while trials fail
 STUCK, STUCK_AIM = 2.0, 0.1  # times its expected time, and share of the aim, after which an attempt is stuck
@@ -82,6 +83,8 @@
         q.answer_by = q.expires - TICKS_AHEAD * self.s.tick_us
         if q.answer_by <= self.now:
             return self.end(q, EndReason.NO_TIME)
+        if self.ends_too_soon(q):
+            return self.end(q, EndReason.CLOSING)
         self.agenda.add(q.answer_by, self._due, q)
         q.two = self._draw(q)
         self._ask_first(q)
@@ -569,6 +572,12 @@
                            self.s.rules.tip_after_us)
 
 
+def tolerated_doubt_us(rules: api.Rules) -> float:
+    """By how much a cold engine may pass for older than it is: the budget's safety factor covers that."""
+    covered = (1 / COLD_SAFETY - 1) * rules.start_capacity * 2 / max(1 - rules.start_capacity, 1e-9)
+    return rules.cold_us * min(covered, DOUBT_SHARE)
+
+
 def _memory_error(memory: float) -> float:
     """The paper's ramp: 0 to 2 from a quarter of the soft limit to it, then to 4 at capacity."""
     low = max(0.0, memory / SOFT_MEMORY - 0.25) / 0.75 * 2
--- a/hollowhitch/policy/interface.py
+++ b/hollowhitch/policy/interface.py
@@ -278,6 +278,13 @@
     id: str
 
 
+@dataclass(frozen=True, slots=True)
+class Closing:
+    """The gateway ends: nothing can be served any more after this time."""
+
+    ends_in_us: int
+
+
 @dataclass(frozen=True, slots=True)
 class GiveUp:
     """The query has to have its final answer now: its gateway ends, or its client can't be heard."""
@@ -305,8 +312,8 @@
 
 
 Event = (
-    EngineList | QueryArrived | StreamBegan | Note | AttemptEnded | ClientLeft | GiveUp | TimerFired
-    | ProbeEnded | MessageReceived
+    EngineList | QueryArrived | StreamBegan | Note | AttemptEnded | ClientLeft | Closing | GiveUp
+    | TimerFired | ProbeEnded | MessageReceived
 )
 
 # Actions out
@@ -320,6 +327,7 @@
     OVER_SHARE = "over_share"  # of a tenant past its quota, while it would have to wait
     LEAST_WORTH = "least_worth"  # held work is more than can be done, and it earned least for its work
     NO_ATTEMPT_LEFT = "no_attempt_left"  # it may not be sent again
+    CLOSING = "closing"  # it could not be done before its gateway ends
     GIVEN_UP = "given_up"  # its gateway ends, or its client can't be heard
     UNKNOWN = "unknown"
 
--- a/hollowhitch/policy/start_times.py
+++ b/hollowhitch/policy/start_times.py
@@ -33,9 +33,11 @@
 class StartTimes:
     """Places the starts that lists tell on the proxy's clock."""
 
-    def __init__(self, process_started_us: int, to_clock: Callable[[int], int]) -> None:
+    def __init__(self, process_started_us: int, to_clock: Callable[[int], int], tolerated_us: float) -> None:
+        """`tolerated_us`: a doubt about an age that does no harm."""
         self._process_started_us = process_started_us
         self._to_clock = to_clock  # from Unix microseconds
+        self._tolerated_us = tolerated_us
         self._starts: dict[str, Start] = {}
         self._least_age_us = math.inf
 
@@ -74,4 +76,5 @@
         if age_us < 0 or not self._possible(age_us, now_us, live):  # the wall clock is wrong
             return Start(engine.started_us, now_us, now_us)
         started_us = max(now_us - age_us, 1)
-        return Start(engine.started_us, started_us, min(started_us + int(self._least_age_us), now_us))
+        doubt_us = int(max(self._least_age_us - self._tolerated_us, 0))
+        return Start(engine.started_us, started_us, min(started_us + doubt_us, now_us))
--- a/hollowhitch/policy/state.py
+++ b/hollowhitch/policy/state.py
@@ -372,12 +372,14 @@
         self.crowd_at, self.busy, self.steep = -(10**9), 0.1, 1.0
         self.steady_at = 0  # times before are not read
         self.label, self.armed, self.all_ill = 0, 0, False
+        self.ends_at = math.inf  # of the gateway
         self.subscribed = not settings.asks_for_list
         self.listed_at: int | None = None
         self.handlers: dict[type, Callable[[Any], None]] = {
             api.TimerFired: self._fired,
             api.StreamBegan: self._began,
             api.ClientLeft: self._left,
+            api.Closing: self._closing,
             api.GiveUp: self._given_up,
             api.QueryArrived: self._arrived,
             api.AttemptEnded: self._ended,
@@ -595,6 +597,17 @@
         if ev.id in self.queries:
             self.close(self.queries[ev.id])
 
+    def _closing(self, ev: api.Closing) -> None:
+        """What is held and can't be done in time is refused now: its client still has time elsewhere."""
+        self.ends_at = self.now + ev.ends_in_us
+        for q in list(self.queries.values()):
+            if q.held and self.ends_too_soon(q):
+                self.end(q, api.EndReason.CLOSING)
+
+    def ends_too_soon(self, q: Query) -> bool:
+        """Can q be refused, and not be done before the gateway ends?"""
+        return self.may_refuse(q) and self.now + q.work / q.cls.threads >= self.ends_at
+
     def _given_up(self, ev: api.GiveUp) -> None:
         q = self.queries.get(ev.id)
         if q is not None and not q.done:
--- a/tests/test_rules.py
+++ b/tests/test_rules.py
@@ -203,3 +203,24 @@
     worst = max(sum(w for t, w in sent if at <= t <= at + window) for at, _ in sent)
     assert worst <= budget
     assert len(sent) > 20  # and it still gets useful work
+
+
+def test_a_closing_gateway_refuses_what_cannot_be_done_before_its_end_and_serves_the_rest():
+    g = Gateway(engine("e1"))
+    g.do(api.Closing(2 * S))
+    assert of(api.Refuse, g.ask("long", cost_us=3 * S)) == [
+        api.Refuse("long", 500_000, api.EndReason.CLOSING)
+    ]
+    assert of(api.Send, g.ask("short", cost_us=S))
+
+
+def test_a_closing_gateway_refuses_held_work_at_once_and_never_what_may_have_run():
+    unsafe = query_class("u", effect=api.Effect.UNSAFE)
+    g = Gateway(given=settings(query_class(), unsafe))
+    g.ask("held", cost_us=800_000)
+    g.ask("short", cost_us=100_000)
+    assert [a.id for a in of(api.Refuse, g.do(api.Closing(S // 2)))] == ["held"]
+    g = Gateway(engine("e1"), given=settings(query_class(), unsafe))
+    g.ask("out", class_name="u", cost_us=3 * S)
+    assert g.do(api.Closing(2 * S)) == []
+    assert of(api.Fail, g.do(api.GiveUp("out"))) == [api.Fail("out", api.EndReason.GIVEN_UP)]
