--- a/faults/channel.py
+++ b/faults/channel.py
@@ -14,7 +14,6 @@
 from faults.servers import Server
 
 COMMENT_S = 1.0  # between comments
-TOLD_LATE_S = 7.0  # what the channel has to tell counts as told by then, however
 
 
 @dataclass(frozen=True, slots=True)
@@ -44,8 +43,8 @@
     def __init__(self, run: Run) -> None:
         self.run = run
         self.events: list[dict[str, Any]] = []
-        self.silent = False  # open calls hear nothing, not even comments
         self._connections: set[socket.socket] = set()
+        self._silent: set[socket.socket] = set()  # calls that hear nothing, not even comments
         self._listener = socket.socket()
         self._listener.setsockopt(socket.SOL_SOCKET, socket.SO_REUSEADDR, 1)
         self._listener.bind(("127.0.0.1", 0))
@@ -68,8 +67,14 @@
     def known(self) -> dict[str, Any]:
         return {"cursor": len(self.events), "cmds": list(self.events)}
 
+    def silence(self) -> None:
+        """Let every open call hear nothing any more; new calls are served."""
+        self.run.channel_troubles.append(time.monotonic())
+        self._silent |= self._connections
+
     def drop_all(self) -> None:
         """End every open call."""
+        self.run.channel_troubles.append(time.monotonic())
         for sock in list(self._connections):
             sock.close()
 
@@ -101,12 +106,13 @@
             pass
         finally:
             self._connections.discard(sock)
+            self._silent.discard(sock)
             sock.close()
 
     def _stream(self, sock: socket.socket, cursor: int) -> None:
         commented_at = 0.0
         while True:
-            if self.silent:
+            if sock in self._silent:
                 gevent.sleep(0.05)
                 continue
             while cursor < len(self.events):
--- a/faults/checker.py
+++ b/faults/checker.py
@@ -7,14 +7,24 @@
 
 import math
 from collections import defaultdict
+from collections.abc import Iterable, Iterator
 from dataclasses import dataclass
 from typing import Any
 
-from faults.records import AttemptEnd, AttemptRecord, Code, ProxyLife, RequestRecord, Run
+from faults.records import (
+    AttemptEnd,
+    AttemptRecord,
+    Code,
+    ProxyLife,
+    RequestRecord,
+    Run,
+    ServerState,
+)
 from faults.settings import AFTER_LONGEST_S, grace_s
 
 SOCKETS_SLACK_S = 0.05  # each time limit on sockets is longer by this
 CANCEL_SLACK_S = 0.1
+TOLD_LATE_S = 7.0  # what the channel has to tell counts as told by then, heard or not
 WAIT_SLACK_S = 0.15
 CROSSING_S = 0.05  # a request that crosses a close by no more than this is the client's to send again
 READ_ORDER_S = 0.02  # two sockets' events may be read in the wrong order by this much
@@ -109,7 +119,7 @@
     def _check_cancel(self, record: RequestRecord) -> None:
         if record.cancelled_at is None:
             return
-        for attempt in self.attempts.get(record.ref, ()):
+        for attempt in self._read_at_once(self.attempts.get(record.ref, ())):
             late = attempt.first_byte_at - record.cancelled_at - CANCEL_SLACK_S
             if late > READ_ORDER_S:
                 text = f"{record.ref} began {late:.3f} s too late after its client had gone"
@@ -120,20 +130,22 @@
     def _check_repeats(self, record: RequestRecord, attempts: list[AttemptRecord]) -> None:
         row = self.classes[record.class_name]
         for earlier, later in zip(attempts, attempts[1:], strict=False):
+            if earlier.end_read_late or later.read_late:
+                continue
             if earlier.ended_at is None or later.arrived_at < earlier.ended_at - READ_ORDER_S:
                 self._break("duplicate", later.arrived_at, f"{record.ref} had two attempts out")
         ran = next((a for a in attempts if not self._never_ran(a)), None)
         if ran is None or row["semantics"] == "retryable":
             return
         window = row.get("repeatWindowUs", 0) / 1e6 if row["semantics"] == "dedup" else -math.inf
-        for attempt in attempts[attempts.index(ran) + 1 :]:
+        for attempt in self._read_at_once(attempts[attempts.index(ran) + 1 :]):
             age = attempt.first_byte_at - ran.first_byte_at
             if age > window + SOCKETS_SLACK_S:
                 text = f"{record.ref} ({record.class_name}) was sent again {age:.3f} s after it may have run"
                 self._break("duplicate", attempt.first_byte_at, text)
 
     def _check_wait(self, record: RequestRecord, attempts: list[AttemptRecord]) -> None:
-        for attempt in attempts:
+        for attempt in self._read_at_once(attempts):
             left = record.sent_at + record.allow_s - attempt.first_byte_at
             if attempt.wait_s > left + WAIT_SLACK_S:
                 text = f"{record.ref} was given {attempt.wait_s:.3f} s where {left:.3f} s were left"
@@ -143,18 +155,24 @@
 
     def _check_drain(self) -> None:
         leaving = {
-            state.server: state.told_at
+            state.server: self._told_at(state)
             for state in reversed(self.run.states)
             if state.phase in ("leaving", "left")
         }
         grace = self._rule_s("drainGraceUs") + SOCKETS_SLACK_S
-        for attempt in self.run.attempts:
+        for attempt in self._read_at_once(self.run.attempts):
             told_at = leaving.get(attempt.server)
             if told_at is not None and attempt.first_byte_at > told_at + grace:
                 after = attempt.first_byte_at - told_at
                 text = f"{attempt.ref} went to {attempt.server}, {after:.3f} s after it was to drain"
                 self._break("drain", attempt.first_byte_at, text)
 
+    def _told_at(self, state: ServerState) -> float:
+        """An event counts as told at once, or within 7 s where calls to the channel were in trouble."""
+        at = state.told_at
+        troubled = any(at - TOLD_LATE_S < trouble < at + TOLD_LATE_S for trouble in self.run.channel_troubles)
+        return at + TOLD_LATE_S if troubled else at
+
     def _check_slow_start(self) -> None:
         cold_s, window = self._rule_s("coldUs"), self._rule_s("tipAfterUs")
         for state in self.run.states:
@@ -193,12 +211,13 @@
         for records in lines.values():
             records.sort(key=lambda r: r.sent_at)
             for place, later in enumerate(records):
-                begun = [a.arrived_at for a in self.attempts.get(later.ref, ())]
+                begun = [a.arrived_at for a in self._read_at_once(self.attempts.get(later.ref, ()))]
                 for earlier in records[:place] if begun else ():
                     self._check_turn(earlier, later, begun[0])
 
     def _check_turn(self, earlier: RequestRecord, later: RequestRecord, begun_at: float) -> None:
         attempts = self.attempts.get(earlier.ref, ())
+        attempts = [a for a in attempts if not (a.read_late or a.end_read_late)]
         ends = [a.ended_at if a.ended_at is not None else math.inf for a in attempts]
         over = [answer.at for answer in earlier.answers[:1]]
         over += [at for at in (earlier.cancelled_at, earlier.connection_ended_at) if at is not None]
@@ -220,7 +239,7 @@
                 if life.killed_at is not None or ended_at > life.terminated_at + grace:
                     text = f"{life.proxy} still ran {grace:.1f} s after SIGTERM"
                     self._break("end", life.terminated_at + grace, text)
-                elif life.code != 0:
+                elif life.code != 0 and life.ready_at is not None:
                     self._break("crash", ended_at, f"{life.proxy} ended with code {life.code}")
             elif life.killed_at is None and life.ended_at is not None:
                 self._break("crash", life.ended_at, f"{life.proxy} ended with code {life.code}")
@@ -232,6 +251,10 @@
     def _rule_s(self, name: str) -> float:
         return self.settings["rules"].get(name, 0) / 1e6
 
+    def _read_at_once(self, attempts: Iterable[AttemptRecord]) -> Iterator[AttemptRecord]:
+        """Those of which it is known when they arrived."""
+        return (attempt for attempt in attempts if not attempt.read_late)
+
     def _never_ran(self, attempt: AttemptRecord) -> bool:
         return attempt.end is not None and attempt.end.never_ran
 
--- a/faults/proxies.py
+++ b/faults/proxies.py
@@ -100,6 +100,10 @@
     def alive(self) -> bool:
         return self.life is not None and self.life.ended_at is None
 
+    @property
+    def age_s(self) -> float:
+        return time.monotonic() - self.life.started_at if self.life is not None else 0.0
+
     def signal(self, number: signal.Signals) -> None:
         """Send a signal, if it still runs."""
         if not self.alive or self.process is None or self.life is None:
--- a/faults/records.py
+++ b/faults/records.py
@@ -69,6 +69,8 @@
     once: str | None = None
     ended_at: float | None = None
     end: AttemptEnd | None = None
+    end_read_late: bool = False  # the server was silent since: when it was given up is not known
+    read_late: bool = False  # it lay unread at a silent server: when it arrived is not known
 
 
 @dataclass(frozen=True, slots=True)
@@ -103,6 +105,7 @@
     attempts: list[AttemptRecord] = field(default_factory=list)
     states: list[ServerState] = field(default_factory=list)
     lives: list[ProxyLife] = field(default_factory=list)
+    channel_troubles: list[float] = field(default_factory=list)  # when calls fell silent or were ended
     events: list[tuple[float, str]] = field(default_factory=list)  # what the driver did
     injected: dict[str, int] = field(default_factory=dict)  # faults by kind
 
--- a/faults/servers.py
+++ b/faults/servers.py
@@ -15,6 +15,7 @@
 from faults.records import AttemptEnd, AttemptRecord, Run
 
 ROW = b"a\tb\tc\n"
+UNREAD_S = 0.2  # after a silence, in which what is read may have come during it
 RESET_ON_CLOSE = struct.pack("ii", 1, 0)  # SO_LINGER of 0 s: closing sends a reset
 
 
@@ -40,6 +41,7 @@
         self.name, self.run, self.rng = name, run, rng
         self.behaviour = Behaviour()
         self.draining = False
+        self.spoke_at = 0.0  # when it was silent last
         self.open: set[ServerConnection] = set()
         self._listener = socket.socket()
         self._listener.setsockopt(socket.SOL_SOCKET, socket.SO_REUSEADDR, 1)
@@ -97,8 +99,11 @@
         first_byte_at = 0.0
         try:
             while chunk := self.sock.recv(65_536):
+                read_late = self.server.spoke_at > time.monotonic() - UNREAD_S
                 while self.server.behaviour.silent:
+                    read_late = True
                     gevent.sleep(0.02)
+                    self.server.spoke_at = time.monotonic()
                 first_byte_at = first_byte_at if data else time.monotonic()
                 data += chunk
                 while (end := data.find(b"\r\n")) >= 0:
@@ -108,7 +113,7 @@
                         if len(data) < end + 2 + size + 2:
                             break
                         del data[: end + 2 + size + 2]
-                        self._requested(words, first_byte_at)
+                        self._requested(words, first_byte_at, read_late)
                     else:
                         del data[: end + 2]
                         handlers[words[0]](words)
@@ -117,7 +122,7 @@
             pass
         self.close(AttemptEnd.CLOSED)
 
-    def _requested(self, words: list[str], first_byte_at: float) -> None:
+    def _requested(self, words: list[str], first_byte_at: float, read_late: bool) -> None:
         fields = wire.decode_request_fields(words[2])
         ref = words[1]
         attempt = AttemptRecord(
@@ -129,6 +134,7 @@
             arrived_at=time.monotonic(),
             wait_s=int(fields["wait"]) / 1000,
             once=fields.get("once"),
+            read_late=read_late,
         )
         self.server.run.attempts.append(attempt)
         self.attempts[ref] = attempt
@@ -176,7 +182,9 @@
         attempt = self.attempts.pop(ref, None)
         self.results.pop(ref, None)
         if attempt is not None:
+            server = self.server
             attempt.ended_at, attempt.end = time.monotonic(), end
+            attempt.end_read_late = server.behaviour.silent or server.spoke_at > attempt.arrived_at
 
     def _stopped(self, words: list[str]) -> None:
         self._end(words[1], AttemptEnd.GIVEN_UP)
--- a/tests/test_fault_checker.py
+++ b/tests/test_fault_checker.py
@@ -117,6 +117,13 @@
     assert rules(run) == found
 
 
+@pytest.mark.parametrize(("told", "found"), [(2.5, set()), (1.9, {"drain"})])
+def test_a_drain_told_while_the_channel_is_in_trouble_counts_after_7_s(told, found):
+    run = Run([request(answers=[served()])], [attempt()], [ServerState("s0", "leaving", told)])
+    run.channel_troubles = [told + 1.0]
+    assert rules(run) == found
+
+
 @pytest.mark.parametrize(("count", "found"), [(400, set()), (700, {"failback"})])
 def test_a_cold_server_that_gets_too_much(count, found):
     attempts = [attempt(10.0 + i / 1000, 10.9, ref=f"r{i}") for i in range(count)]
--- a/tests/test_rules.py
+++ b/tests/test_rules.py
@@ -217,8 +217,8 @@
 def test_a_closing_gateway_refuses_held_work_at_once_and_never_what_may_have_run():
     unsafe = query_class("u", effect=api.Effect.UNSAFE)
     g = Gateway(given=settings(query_class(), unsafe))
-    g.ask("held", cost_us=800_000)
     g.ask("short", cost_us=100_000)
+    g.ask("held", cost_us=800_000)
     assert [a.id for a in of(api.Refuse, g.do(api.Closing(S // 2)))] == ["held"]
     g = Gateway(engine("e1"), given=settings(query_class(), unsafe))
     g.ask("out", class_name="u", cost_us=3 * S)
