Start through a moment without sockets, and count the wait to be accepted

Callers saw: a proxy that refused to start (code 2) when socket() failed with ENFILE as it came up; a server told a deadline up to 0.25 s later than its client's (rule deadline) when accept had failed for a while; a process ended by a SIGHUP that came while it was starting. Cause: listening was tried once; a connection that waited to be accepted while accept failed was read as if it had just come, since receive stamps were asked for only after accepting and ages were bounded by the last 0.1 s; SIGHUP had its default action until all modules were loaded. Tests: the three new ones of test_fault_incidents failed before.

--- a/hollowhitch/__main__.py
+++ b/hollowhitch/__main__.py
@@ -2,11 +2,15 @@
 
 from __future__ import annotations
 
+import signal
+
+reload_asked: list[int] = []  # a SIGHUP that came while the modules below were being loaded
+signal.signal(signal.SIGHUP, lambda number, frame: reload_asked.append(number))
+
 import dataclasses
 import gc
 import os
 import resource
-import signal
 import sys
 import time
 from collections.abc import Callable, Mapping
@@ -103,6 +107,8 @@
         gc.freeze()
         gc.set_threshold(COLLECT_EVERY, 20, 20)
         self.start()
+        if reload_asked:
+            self.reread(os.environ)
         self.end.wait()
         self.finish()
         return 0
--- a/hollowhitch/net/arrivals.py
+++ b/hollowhitch/net/arrivals.py
@@ -54,9 +54,15 @@
 class Receiver:
     """Reads a client's socket and tells when what it read had come."""
 
-    def __init__(self, sock: socket.socket, clock: Clock, heartbeat: Heartbeat) -> None:
+    def __init__(
+        self, sock: socket.socket, clock: Clock, heartbeat: Heartbeat, waited_since_us: int | None = None
+    ) -> None:
+        """`waited_since_us`: since when the connection may have waited to be accepted."""
         self._sock, self._clock, self._heartbeat = sock, clock, heartbeat
-        self._paused: tuple[int, int] | None = None  # since when nothing was read; the wall offset then
+        # Since when nothing was read, and the wall clock's offset then.
+        self._paused: tuple[int, int] | None = None
+        if waited_since_us is not None:
+            self._paused = (min(waited_since_us, heartbeat.alive_us), heartbeat.offset_us)
 
     def pause(self) -> None:
         """Nothing is read for a while, though more may come."""
@@ -68,15 +74,15 @@
         count, ancillary = self._read(room)
         now_us = self._clock.now_us()
         heartbeat = self._heartbeat
-        earliest_us, offset_us = self._paused or (heartbeat.alive_us, heartbeat.offset_us)
-        self._paused = None
+        paused, self._paused = self._paused, None
+        earliest_us, offset_us = paused or (heartbeat.alive_us, heartbeat.offset_us)
         for level, kind, data in ancillary:
             if level == socket.SOL_SOCKET and kind == SO_TIMESTAMPNS and len(data) >= STAMP.size:
                 seconds, ns = STAMP.unpack_from(data)
                 stamp_us = seconds * 1_000_000 + ns // 1000
                 at_us = place_stamp(stamp_us, now_us, wall_time_us(), offset_us, earliest_us)
                 return count, at_us if at_us is not None else self._by_tcp(now_us, earliest_us)
-        return count, now_us
+        return count, self._by_tcp(now_us, earliest_us) if paused else now_us
 
     def _read(self, room: memoryview) -> tuple[int, list[tuple[int, int, bytes]]]:
         failures = 0
--- a/hollowhitch/net/clients.py
+++ b/hollowhitch/net/clients.py
@@ -56,11 +56,11 @@
     what is read after that crossed the close and is thrown away. Then the socket is closed.
     """
 
-    def __init__(self, front: Front, sock: socket.socket) -> None:
+    def __init__(self, front: Front, sock: socket.socket, waited_since_us: int | None = None) -> None:
         self.front, self.sock = front, sock
         self.protocol = frames.ClientProtocol()
         self.outbox = Outbox(sock, OUTBOX_MOST, OUTBOX_PAUSE)
-        self.receiver = Receiver(sock, front.gateway.clock, front.heartbeat)
+        self.receiver = Receiver(sock, front.gateway.clock, front.heartbeat, waited_since_us)
         self.queries: dict[int, Query] = {}  # by stream
         self.warned = False
         self.ending = False  # our side will be shut as soon as nothing is open
--- a/hollowhitch/net/failures.py
+++ b/hollowhitch/net/failures.py
@@ -23,6 +23,7 @@
 class Call(enum.Enum):
     """The system calls of the drivers."""
 
+    LISTEN = "listen"
     ACCEPT = "accept"
     CONNECT = "connect"  # socket() as well
     RECEIVE = "receive"
@@ -39,6 +40,7 @@
 NO_LOCAL_PORT = frozenset({errno.EADDRNOTAVAIL, errno.EADDRINUSE})
 
 _TABLE: dict[Call, list[tuple[frozenset[int], Blame]]] = {
+    Call.LISTEN: [(SHORT_OF_RESOURCES | INTERRUPTED, Blame.OURS)],
     Call.ACCEPT: [
         (GONE_BEFORE_ACCEPT, Blame.THEIRS),
         (SHORT_OF_RESOURCES | INTERRUPTED, Blame.OURS),
@@ -51,6 +53,7 @@
     Call.SEND: [(frozenset({errno.ENOBUFS, errno.ENOMEM}) | INTERRUPTED, Blame.OURS)],
 }
 _OTHERWISE = {
+    Call.LISTEN: Blame.UNKNOWN,
     Call.ACCEPT: Blame.UNKNOWN,
     Call.CONNECT: Blame.THEIRS,
     Call.RECEIVE: Blame.THEIRS,
--- a/hollowhitch/net/front.py
+++ b/hollowhitch/net/front.py
@@ -32,7 +32,7 @@
         self.held = 0  # bytes of the statements that are open
         self.draining = False  # asked to end: not ready, and clients are told so
         self.refusing = False  # takes no new request
-        self._listener = Listener(config.listen, self._serve, gateway.metrics)
+        self._listener = Listener(config.listen, self._serve, gateway.metrics, gateway.clock)
 
     def start(self) -> None:
         """Listen; OSError if the address can't be had."""
@@ -43,12 +43,12 @@
     def address(self) -> tuple[str, int]:
         return self._listener.address
 
-    def _serve(self, sock: socket.socket) -> None:
+    def _serve(self, sock: socket.socket, waited_since_us: int | None) -> None:
         if not self._make_room():
             self.gateway.metrics.client_closes.add(CloseReason.NO_PLACE.value)
             sock.close()
             return
-        connection = ClientConnection(self, sock)
+        connection = ClientConnection(self, sock, waited_since_us)
         self.connections.add(connection)
         if self.draining:
             connection.warn()
--- a/tests/test_fault_incidents.py
+++ b/tests/test_fault_incidents.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import errno
 import shutil
 import signal
 import time
@@ -188,7 +189,7 @@
 @pytest.mark.parametrize("errno_name", ["ECONNABORTED", "ENFILE", "EMFILE", "ENOBUFS"])
 def test_failing_accepts_are_retried_and_logged_without_a_traceback(make_lab, errno_name):
     lab = make_lab()
-    number = getattr(__import__("errno"), errno_name)
+    number = getattr(errno, errno_name)
     lab.proxies[0].control.fail(Call.ACCEPT, number, 20)
     started_at = time.monotonic()
     client = lab.connect(lab.proxies[0])
@@ -205,7 +206,7 @@
 def test_connects_that_fail_for_a_moment_cost_no_request(make_lab, call, errno_name):
     lab = make_lab()
     client = lab.connect(lab.proxies[0])
-    lab.proxies[0].control.fail(call, getattr(__import__("errno"), errno_name), 6)
+    lab.proxies[0].control.fail(call, getattr(errno, errno_name), 6)
     client.request(new_ref(lab.rng), "unsafe", 3.0)
     client.request(new_ref(lab.rng), "safe", 3.0)
     assert wait_for(lambda: len(answered(lab)) == 2)
@@ -221,7 +222,7 @@
     client = lab.connect(lab.proxies[0])
     client.request(new_ref(lab.rng), "unsafe", 3.0)
     assert wait_for(lambda: lab.run.attempts)
-    lab.proxies[0].control.fail(Call.RECEIVE, getattr(__import__("errno"), errno_name), 1)
+    lab.proxies[0].control.fail(Call.RECEIVE, getattr(errno, errno_name), 1)
     client.request(new_ref(lab.rng), "safe", 3.0)
     for server in lab.servers:
         for connection in list(server.open):
@@ -229,3 +230,44 @@
     assert wait_for(lambda: any(a.end is AttemptEnd.CLOSED for a in lab.run.attempts))
     assert wait_for(lambda: len(answered(lab)) == 2, 4.0)
     assert broken(lab) == []
+
+
+def test_a_process_starts_while_sockets_fail_for_a_moment(make_lab):
+    lab = make_lab()
+    proxy = lab.proxies[0]
+    proxy.signal(signal.SIGKILL)
+    assert proxy.wait_ended(2.0)
+    proxy.control.fail(Call.SOCKET, errno.ENFILE, 12)
+    proxy.start()
+    proxy.wait_ready()
+    assert proxy.control.injected(Call.SOCKET) > 0
+
+
+def test_time_spent_waiting_to_be_accepted_is_taken_off_the_deadline(make_lab):
+    lab = make_lab(deadline_s=3.0)
+    lab.proxies[0].control.fail(Call.ACCEPT, errno.ENFILE, 12)
+    clients = [lab.connect(lab.proxies[0]) for _ in range(3)]
+    for client in clients:
+        client.request(new_ref(lab.rng), "safe", 3.0)
+    assert wait_for(lambda: len(answered(lab)) == 3)
+    assert max(a.first_byte_at for a in lab.run.attempts) > lab.run.requests[0].sent_at + 0.2
+    assert broken(lab) == []
+
+
+def test_a_reload_asked_for_while_the_process_starts_does_not_end_it(make_lab):
+    lab = make_lab()
+    proxy = lab.proxies[0]
+    proxy.signal(signal.SIGKILL)
+    assert proxy.wait_ended(2.0)
+    proxy.start()
+    folder = Path(f"/proc/{proxy.process.pid}")
+    assert wait_for(lambda: catches_hangup(folder))
+    assert "gevent" not in (folder / "maps").read_text()
+    proxy.signal(signal.SIGHUP)
+    proxy.wait_ready()
+    assert broken(lab) == []
+
+
+def catches_hangup(folder: Path) -> bool:
+    caught = next(x for x in (folder / "status").read_text().splitlines() if x.startswith("SigCgt"))
+    return bool(int(caught.split()[1], 16) & 1 << signal.SIGHUP - 1)
