--- a/hollowhitch/gateway.py
+++ b/hollowhitch/gateway.py
@@ -67,7 +67,6 @@
     watchdog: Timer | None = None
     broke: bool = False  # a connection has broken with it; it may be why
 
-
     @property
     def expected_us(self) -> int:
         """Its told work: what a run may take where it has little else beside it."""
