Retry failed reads and writes in one place, and drop what nothing calls

Cause: three copies of one loop (client reads, engine reads, writes) tried again after a failure for want of something here; Heartbeat's on_step and Clock.uptime_s had no caller. Change: failures.retried serves all three, with the same pause and bound.

--- a/hollowhitch/clock.py
+++ b/hollowhitch/clock.py
@@ -35,10 +35,6 @@
         """Now, in microseconds."""
         return time.monotonic_ns() // NS_PER_US - self._origin_us
 
-    def uptime_s(self) -> float:
-        """Seconds since the clock was made."""
-        return (self.now_us() - START_US) / US_PER_S
-
     def wall_offset_us(self) -> int:
         """What is to be added to `now_us` for the wall clock as it stands now. It changes with each step."""
         before = self.now_us()
--- a/hollowhitch/net/arrivals.py
+++ b/hollowhitch/net/arrivals.py
@@ -21,13 +21,12 @@
 from gevent import socket
 
 from hollowhitch.clock import STEP_LEAST_US, Clock, wall_time_us
-from hollowhitch.net.failures import Blame, Call, blame
+from hollowhitch.net.failures import Call, retried
 from hollowhitch.net.heartbeat import Heartbeat
 
 SO_TIMESTAMPNS = 35  # Linux; the socket module does not name it
 STAMP = struct.Struct("qq")  # seconds, nanoseconds on the Unix clock
 TCP_INFO_BYTES = 104
-RETRY_S, RETRIES_MOST = 0.005, 40  # after a read that failed for want of something here
 LAST_DATA_RECEIVED = struct.Struct("52xI")  # tcpi_last_data_recv: ms ago, by the kernel's monotonic clock
 
 
@@ -107,7 +106,7 @@
 
     def receive(self, room: memoryview) -> Received:
         """Read once."""
-        count, ancillary = self._read(room)
+        count, ancillary, _, _ = retried(Call.RECEIVE, self._sock.recvmsg_into, [room], 64)
         now_us = self._clock.now_us()
         behind, self._paused = self._behind_until_us > 0, None
         earliest_us, offset_us = self._oldest if behind else self._alive()
@@ -137,20 +136,6 @@
                 return at_us if at_us is not None else self._by_tcp(now_us, earliest_us)
         return self._by_tcp(now_us, earliest_us) if behind else now_us
 
-    def _read(self, room: memoryview) -> tuple[int, list[tuple[int, int, bytes]]]:
-        failures = 0
-        while True:
-            try:
-                count, ancillary, _, _ = self._sock.recvmsg_into([room], 64)
-                return count, ancillary
-            except TimeoutError:
-                raise
-            except OSError as e:
-                failures += 1
-                if blame(Call.RECEIVE, e) is not Blame.OURS or failures > RETRIES_MOST:
-                    raise
-                gevent.sleep(RETRY_S)
-
     def _by_tcp(self, now_us: int, earliest_us: int) -> int:
         since_us = _since_last_data_us(self._sock)
         if since_us is None:  # the safe side: its time began as early as it can have
--- a/hollowhitch/net/engines.py
+++ b/hollowhitch/net/engines.py
@@ -16,7 +16,7 @@
 from hollowhitch.gateway import Attempt, CallLater, Gateway
 from hollowhitch.metrics import Metrics
 from hollowhitch.net.dial import DialError, dial
-from hollowhitch.net.failures import Blame, Call, blame
+from hollowhitch.net.failures import Blame, Call, retried
 from hollowhitch.net.heartbeat import Heartbeat
 from hollowhitch.net.outbox import Outbox
 from hollowhitch.policy.interface import EngineList, EngineState, ListKind, LoadReport, Outcome, ProbeEnded
@@ -29,7 +29,6 @@
 ALONE_MORE = 2  # connections to an engine over the usual number, for queries on which one has broken
 CARE_US = 100_000  # between looks for connections that have stopped
 AMID_US, SILENT_US, OVERDUE = 500_000, 3_000_000, 4  # an answer that stops short; silent; times the estimate
-RETRY_S, RETRIES_MOST = 0.005, 40  # after a read that failed for want of something here
 TOLD_S = 0.004  # a STOP is on its way this long before a further attempt may leave
 
 
@@ -110,7 +109,7 @@
         try:
             while not self.closed:
                 with protocol.buffer.room() as room:
-                    count = self._receive(room)
+                    count = retried(Call.RECEIVE, self.sock.recv_into, room)
                 if count == 0:
                     return self.close("ended by the engine")
                 self.heard_us, self.suspect = self.pool.owner.clock.now_us(), False
@@ -130,17 +129,6 @@
             log.event("fault", "reading from an engine failed", engine=self.pool.id, error=repr(e))
             self.close("fault")
 
-    def _receive(self, room: memoryview) -> int:
-        failures = 0
-        while True:
-            try:
-                return self.sock.recv_into(room)
-            except OSError as e:
-                failures += 1
-                if blame(Call.RECEIVE, e) is not Blame.OURS or failures > RETRIES_MOST:
-                    raise
-                gevent.sleep(RETRY_S)
-
     def _finished(self, ref: str, outcome: Outcome, report: LoadReport | None, body: bytes) -> None:
         owner = self.pool.owner
         self.used_us = owner.clock.now_us()
--- a/hollowhitch/net/failures.py
+++ b/hollowhitch/net/failures.py
@@ -7,10 +7,17 @@
 
 import enum
 import errno
+from collections.abc import Callable
+from typing import TypeVar
+
+import gevent
 
 from hollowhitch import log
 from hollowhitch.metrics import Metrics
 
+RETRY_S, RETRIES_MOST = 0.005, 40
+T = TypeVar("T")
+
 
 class Blame(enum.Enum):
     """Where a failure lies."""
@@ -76,6 +83,18 @@
     return errno.errorcode.get(error.errno or 0, "unknown")
 
 
+def retried(call: Call, action: Callable[..., T], *args: object) -> T:
+    """What `action` returns; called again for a moment while it fails for want of something here."""
+    for _ in range(RETRIES_MOST):
+        try:
+            return action(*args)
+        except OSError as e:
+            if blame(call, e) is not Blame.OURS:
+                raise
+        gevent.sleep(RETRY_S)
+    return action(*args)
+
+
 def record(metrics: Metrics, call: Call, error: OSError, **ids: object) -> Blame:
     """Count and log a failure; say whose it is."""
     found = blame(call, error)
--- a/hollowhitch/net/heartbeat.py
+++ b/hollowhitch/net/heartbeat.py
@@ -2,8 +2,6 @@
 
 from __future__ import annotations
 
-from collections.abc import Callable
-
 import gevent
 
 from hollowhitch import log
@@ -24,8 +22,8 @@
     reader paused; `offset_us` is the wall clock's offset then.
     """
 
-    def __init__(self, clock: Clock, metrics: Metrics, on_step: Callable[[int], None] | None = None) -> None:
-        self._clock, self._metrics, self._on_step = clock, metrics, on_step
+    def __init__(self, clock: Clock, metrics: Metrics) -> None:
+        self._clock, self._metrics = clock, metrics
         self.alive_us = self._beat_us = clock.now_us()
         self.offset_us = self._beat_offset_us = clock.wall_offset_us()
         self.polled_us = self._beat_us  # when the loop last looked for what had come
@@ -70,5 +68,3 @@
         if step_us:
             self._metrics.clock_steps.add("forward" if step_us > 0 else "back")
             log.event("clock", "the wall clock was stepped", by_s=round(step_us / US_PER_S, 3))
-            if self._on_step is not None:
-                self._on_step(step_us)
--- a/hollowhitch/net/outbox.py
+++ b/hollowhitch/net/outbox.py
@@ -5,17 +5,14 @@
 from collections import deque
 from collections.abc import Callable
 
-import gevent
 from gevent import socket
 from gevent.event import Event
 
-from hollowhitch.net.failures import Blame, Call, blame
+from hollowhitch.net.failures import Call, retried
 
 Item = bytes | Callable[[], bytes]  # the latter is asked for its bytes just before they are written
 
 CHUNK = 65_536  # bytes gathered for one write
-RETRY_S = 0.005  # after a write that failed for want of something here
-RETRIES_MOST = 40
 
 
 class Outbox:
@@ -99,14 +96,7 @@
 
     def _send(self, chunk: bytearray) -> None:
         """Write it all, in as many pieces as the kernel takes."""
-        sent, failures = 0, 0
+        sent = 0
         with memoryview(chunk) as view:
             while sent < len(view):
-                try:
-                    sent += self._sock.send(view[sent:])
-                    failures = 0
-                except OSError as e:
-                    failures += 1
-                    if blame(Call.SEND, e) is not Blame.OURS or failures > RETRIES_MOST:
-                        raise
-                    gevent.sleep(RETRY_S)
+                sent += retried(Call.SEND, self._sock.send, view[sent:])
