--- a/hollowhitch/__main__.py
+++ b/hollowhitch/__main__.py
@@ -35,7 +35,7 @@
 from hollowhitch.shutdown import plan_shutdown
 
 POLL_S = 0.02  # between looks whether a stage of the end is over
-READ_ANEW, NEW_EACH_TIME = ("channel",), ("known", "cursor", "seed")  # at SIGHUP; with every file
+READ_ANEW, NEW_EACH_TIME = ("channel",), ("known", "cursor", "seed", "unread")  # at SIGHUP; with every file
 COLLECT_EVERY = 20_000  # new objects between collections: short ones, but not for every few queries
 
 
@@ -67,6 +67,8 @@
             self.gateway.relist(engines)
 
     def start(self) -> None:
+        if self.config.unread:
+            log.event("configuration", "keys that nothing reads", keys=",".join(self.config.unread))
         first = True
         for command in self.config.known:
             if first and command.engines is not None:
--- a/hollowhitch/config.py
+++ b/hollowhitch/config.py
@@ -31,6 +31,7 @@
 OWN_MB, REST_LEAST_MB = 20, 4  # what the program takes by itself, measured; what is taken to be left at least
 HELD_SHARE, HELD_MOST = 0.5, 32 << 20  # of the rest: statements, half-read frames, unwritten answers; bytes
 QUERY_BYTES = 3_000  # of the books on an open query
+KEYS = frozenset({"name", "listen", "seed", "limits", "channel", "known", "settings"})  # of the file
 
 
 @dataclass(frozen=True, slots=True)
@@ -50,6 +51,7 @@
     engine_sockets_most: int  # connections to one engine
     engines_sockets_most: int  # connections to all engines together
     held_most: int  # bytes held for clients
+    unread: tuple[str, ...] = ()  # keys of the file that mean nothing to this version
 
 
 def _count(table: Table, name: str) -> int:
@@ -120,6 +122,7 @@
         engine_sockets_most=max(2, for_engines // ENGINES_FEW),  # and two more for a while
         engines_sockets_most=for_engines,
         held_most=held,
+        unread=tuple(sorted(top.raw.keys() - KEYS)),
     )
 
 
--- a/tests/test_config.py
+++ b/tests/test_config.py
@@ -86,3 +86,7 @@
         env = {**os.environ, "ROUTER_CONFIG": str(tmp_path / "c.json")}
         done = subprocess.run([sys.executable, "-m", "hollowhitch"], env=env, capture_output=True, text=True)
     assert done.returncode == 2 and "hollowhitch: listen: " in done.stderr and "Traceback" not in done.stderr
+
+
+def test_a_key_that_nothing_reads_is_named():
+    assert parse(boot.config(surplus=1, another={}), {}).unread == ("another", "surplus")
