--- a/faults/checker.py
+++ b/faults/checker.py
@@ -8,12 +8,13 @@
 import math
 from collections import defaultdict
 from collections.abc import Iterable, Iterator
-from dataclasses import dataclass
 from typing import Any
 
+from faults.order_checker import OrderChecker
 from faults.records import (
     AttemptEnd,
     AttemptRecord,
+    Break,
     Code,
     ProxyLife,
     RequestRecord,
@@ -31,15 +32,6 @@
 SMALL_BUDGET = 30  # calls below which the slow-start slack is 3 roots instead of 2
 
 
-@dataclass(frozen=True, slots=True)
-class Break:
-    """A rule that was broken."""
-
-    rule: str
-    at: float
-    text: str
-
-
 class Checker:
     """Checks one run against the settings it was played with."""
 
@@ -68,6 +60,7 @@
         self._check_key_order()
         self._check_slow_start()
         self._check_ends()
+        self.breaks += OrderChecker(self.run).check()
         return sorted(self.breaks, key=lambda b: b.at)
 
     def _break(self, rule: str, at: float, text: str) -> None:
--- a/faults/clients.py
+++ b/faults/clients.py
@@ -11,7 +11,7 @@
 from gevent.event import Event
 
 from faults import wire
-from faults.records import Answer, Code, RequestRecord, Run
+from faults.records import Answer, Code, ConnectionRecord, RequestRecord, Run
 
 if TYPE_CHECKING:
     from random import Random
@@ -51,6 +51,8 @@
         self.reading = True
         self.used = False
         self.open: dict[int, RequestRecord] = {}
+        self.record = ConnectionRecord(self.number, proxy, self.opened_at)
+        run.connections.append(self.record)
         self._stream = 0
         self._closed = False
         self._reader = gevent.spawn(self._read)
@@ -98,6 +100,10 @@
             record.connection_ended_at = self.ended_at
         return record
 
+    def stop_reading(self) -> None:
+        """Read nothing from now on."""
+        self.reading = self.record.reads = False
+
     def ask_ready(self) -> None:
         self.sock.sendall(wire.encode_frame(wire.ASK_READY, 1_000_000))
 
@@ -124,6 +130,7 @@
         self._reader.kill(block=False)
         self.sock.close()
         now = time.monotonic()
+        self.record.ended_at = self.record.ended_at or now
         for record in self.open.values():
             record.cancelled_at = now
         self.open.clear()
@@ -143,6 +150,7 @@
         except OSError:
             reset = True
         self.ended_at = time.monotonic()
+        self.record.ended_at = self.record.ended_at or self.ended_at
         for record in self.open.values():
             record.connection_ended_at, record.connection_reset = self.ended_at, reset
         self.ended.set()
--- a/faults/proxies.py
+++ b/faults/proxies.py
@@ -37,6 +37,7 @@
         self.control = Control(folder / f"{name}.control")
         self.library = library
         self.address = ("127.0.0.1", _free_port())
+        self.console = ("127.0.0.1", _free_port())
         self.process: subprocess.Popen | None = None
         self.life: ProxyLife | None = None
 
@@ -50,6 +51,7 @@
             "seed": "8c1f30d27a5be964",
             "limits": {"cores": 1.0, "memory_mb": 192, "sockets": 1024},
             "channel": channel,
+            "console": f"{self.console[0]}:{self.console[1]}",
             "known": known,
             "settings": settings,
             **more,
@@ -81,13 +83,14 @@
         assert self.life is not None
         until = time.monotonic() + READY_WITHIN_S
         while time.monotonic() < until and self.life.ended_at is None:
-            if self._says_ready():
+            if self.says_ready():
                 self.life.ready_at = time.monotonic()
                 return
             gevent.sleep(POLL_S)
         raise ProxyNotReady(f"{self.name}: {self.log_path.read_text(errors='replace')[-2000:]}")
 
-    def _says_ready(self) -> bool:
+    def says_ready(self) -> bool:
+        """Does it say yes to the question of type 4? No answer is none."""
         try:
             with socket.create_connection(self.address, 1.0) as sock:
                 sock.sendall(wire.encode_frame(wire.ASK_READY, 1))
--- a/faults/records.py
+++ b/faults/records.py
@@ -29,6 +29,15 @@
         return self is AttemptEnd.FULL
 
 
+@dataclass(frozen=True, slots=True)
+class Break:
+    """A rule that was broken."""
+
+    rule: str
+    at: float
+    text: str
+
+
 @dataclass(slots=True)
 class Answer:
     at: float
@@ -83,6 +92,46 @@
     started_at: float | None = None  # of a late start
 
 
+@dataclass(slots=True)
+class ConnectionRecord:
+    """One client connection, from its client's side."""
+
+    number: int
+    proxy: str
+    opened_at: float
+    ended_at: float | None = None  # either side ended it
+    reads: bool = True  # a client that reads nothing cannot see an end
+
+
+@dataclass(slots=True)
+class OrderRecord:
+    """One call to a proxy's console."""
+
+    proxy: str
+    path: str
+    subject: str  # the body: a database's id, or nothing
+    sent_at: float
+    expect_yes: bool
+    answered_at: float | None = None
+    status: int | None = None
+    text: str = ""
+    refused: bool = False  # nobody listened
+
+    @property
+    def accepted(self) -> bool:
+        return self.status is not None and 200 <= self.status < 300
+
+
+@dataclass(frozen=True, slots=True)
+class ReadinessRecord:
+    """One answer to the question whether a proxy is ready."""
+
+    proxy: str
+    way: str  # frame or console
+    asked_at: float
+    ready: bool
+
+
 @dataclass(slots=True)
 class ProxyLife:
     """One process of a proxy."""
@@ -105,6 +154,9 @@
     attempts: list[AttemptRecord] = field(default_factory=list)
     states: list[ServerState] = field(default_factory=list)
     lives: list[ProxyLife] = field(default_factory=list)
+    connections: list[ConnectionRecord] = field(default_factory=list)
+    orders: list[OrderRecord] = field(default_factory=list)
+    readiness: list[ReadinessRecord] = field(default_factory=list)
     channel_troubles: list[float] = field(default_factory=list)  # when calls fell silent or were ended
     events: list[tuple[float, str]] = field(default_factory=list)  # what the driver did
     injected: dict[str, int] = field(default_factory=dict)  # faults by kind
--- a/faults/report.py
+++ b/faults/report.py
@@ -8,8 +8,7 @@
 
 from hdrh.histogram import HdrHistogram
 
-from faults.checker import Break
-from faults.records import Code, Run
+from faults.records import Break, Code, Run
 
 CONTEXT_S = 2.0  # of the driver's events before a break
 LATENCY_MOST_MS, LATENCY_DIGITS = 60_000, 3
--- a/tests/conftest.py
+++ b/tests/conftest.py
@@ -14,6 +14,9 @@
 from hollowhitch import Controller
 from hollowhitch.policy import interface as api
 from tests import known_red
+from tests.lab import library, make_lab
+
+__all__ = ["library", "make_lab"]  # fixtures
 
 hypothesis_settings.register_profile("ci", derandomize=True, deadline=None, max_examples=60)
 hypothesis_settings.load_profile("ci")
--- a/tests/test_fault_incidents.py
+++ b/tests/test_fault_incidents.py
@@ -3,59 +3,23 @@
 from __future__ import annotations
 
 import errno
-import shutil
 import signal
 import time
-from collections.abc import Callable, Iterator
-from pathlib import Path
 
 import gevent
 import pytest
 
-from faults import shim
-from faults.checker import Checker
 from faults.clients import new_ref, new_replay
-from faults.lab import Lab, wait_for
+from faults.lab import wait_for
 from faults.records import AttemptEnd, Code
 from faults.servers import Behaviour
-from faults.settings import grace_s, make_settings
+from faults.settings import grace_s
 from faults.shim import Call
+from tests.lab import answered, broken
 
-MakeLab = Callable[..., Lab]
 HANG = Behaviour(hang_share=1.0)
 
 
-@pytest.fixture(scope="session")
-def library(tmp_path_factory: pytest.TempPathFactory) -> Path:
-    if shutil.which("cc") is None and shutil.which("gcc") is None:
-        pytest.skip("no C compiler for the preloaded fault library")
-    return shim.build(tmp_path_factory.mktemp("shim"))
-
-
-@pytest.fixture
-def make_lab(tmp_path: Path, library: Path) -> Iterator[MakeLab]:
-    labs: list[Lab] = []
-
-    def make(servers: int = 2, proxies: int = 1, **settings: float) -> Lab:
-        lab = Lab(tmp_path, library, make_settings(proxies=proxies, **settings), 1, servers, proxies)
-        labs.append(lab)
-        lab.start()
-        return lab
-
-    yield make
-    for lab in labs:
-        lab.close()
-
-
-def broken(lab: Lab, *rules: str) -> list[str]:
-    breaks = Checker(lab.run, lab.settings).check()
-    return [f"{b.rule}: {b.text}" for b in breaks if not rules or b.rule in rules]
-
-
-def answered(lab: Lab) -> list[Code]:
-    return [request.answers[0].code for request in lab.run.requests if request.answers]
-
-
 @pytest.mark.parametrize("step_s", [0.0, -3600.0, -5.0, -0.5, 0.5, 5.0, 3600.0])
 def test_keyed_request_is_not_repeated_past_its_window_when_the_wall_clock_steps(make_lab, step_s):
     lab = make_lab(deadline_s=6.0, repeat_window_s=0.4)
