Let a reader that always finds bytes give way, and throw away in large pieces

What callers saw: with bad clients that send much at once and go, a proxy stood still for 0.4 to 0.5 s again and again. Answers came late, and where requests of one key waited on two connections meanwhile, the later was sent first (rule order).

Cause: since a connection that is behind is read one frame at a time. Where our side was shut already, the read was not followed by the pause for what is thrown away, and took 4 bytes, the length of a next frame. And no read of a single frame gave way: gevent's receive does not switch where bytes are there.

Change: what is thrown away is read as far as there is room, with a pause after each read. A reader gives way once the loop has not looked for 5 ms. Why it works: no reader can keep the loop for longer than that and its own frame.

Measured: both new tests failed before (250,009 reads of 4 bytes where 50 are allowed; 39,092 reads before another connection's turn); 485 passed, 8 known failures passed over.

--- a/hollowhitch/net/clients.py
+++ b/hollowhitch/net/clients.py
@@ -165,15 +165,14 @@
         while not self.closed:
             self._wait_for_room()
             try:
-                with protocol.buffer.room() as room:
-                    most = protocol.missing() if self.receiver.behind else len(room)
-                    with room[:most] as part:
-                        received = self.receiver.receive(part)
+                with protocol.buffer.room() as room, room[: self._readable(len(room))] as part:
+                    received = self.receiver.receive(part)
             except TimeoutError:
                 continue  # who is silent for too long is the sweep's to tell
             if received.count == 0:
                 return
             if self.shut:  # it crossed our close; its client sends it again
+                self._pace(False)
                 continue
             self.moved, offences = time.monotonic(), self.offences
             if not len(protocol.buffer):
@@ -188,6 +187,12 @@
                     gevent.sleep(0)
             self._pace(self.offences > offences)
 
+    def _readable(self, room: int) -> int:
+        """How many bytes to read at once: a frame where the time of each counts, else all that fits."""
+        if self.shut or self.protocol.broken or not self.receiver.behind:
+            return room
+        return self.protocol.missing()
+
     def _room_for(self, size: int) -> bool:
         return size <= LARGE or self.front.room_for(size)
 
@@ -201,13 +206,16 @@
             self.outbox.wait_for_room()
 
     def _pace(self, offended: bool) -> None:
-        if self.protocol.broken:  # what comes now is thrown away, and must not cost the others our time
+        if self.protocol.broken or self.shut:  # what comes now is thrown away: it must not cost others time
             self.receiver.pause()
             gevent.sleep(DISCARD_S)
         elif offended:
             self.receiver.pause()
             most = PACE_OPEN_MOST_S if self.protocol.open else PACE_MOST_S
             gevent.sleep(min(self.offences * PACE_S, most))
+        elif self.front.heartbeat.starved:  # a socket that always has bytes never makes its reader wait
+            self.receiver.pause()
+            gevent.sleep(0)
 
     def overdue(self, now: float) -> CloseReason | None:
         """Why it is to be closed by now, if it is. One that is quiet between requests may be
--- a/hollowhitch/net/heartbeat.py
+++ b/hollowhitch/net/heartbeat.py
@@ -11,6 +11,7 @@
 PERIOD_US = 50_000
 DRIFT_US = 500  # between the clocks, before their difference is taken anew
 STALE_US = 50_000  # since the loop looked for what had come
+STARVED_US = 5_000  # since the loop looked: a greenlet that has run for so long gives way
 POLLS = 2  # turns of the loop in which it surely looks and readers are heard
 STANDSTILL_US = 40_000  # late by more is worth a line
 
@@ -46,6 +47,11 @@
         """Did the loop stand still just now, so that what is read next may have waited for long?"""
         return self._clock.now_us() - self.alive_us > 2 * PERIOD_US + STANDSTILL_US
 
+    @property
+    def starved(self) -> bool:
+        """Has the loop not looked for a while because greenlets kept it from it?"""
+        return self._clock.now_us() - self.polled_us > STARVED_US
+
     def catch_up(self) -> None:
         """Wait until all that had come by now was read, if the loop has not looked for a while: no request
         may be sent on while its client's cancel lies here unread."""
--- a/tests/test_proxy.py
+++ b/tests/test_proxy.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import contextlib
 import dataclasses
 import json
 import os
@@ -24,6 +25,7 @@
 from hollowhitch.metrics import Metrics
 from hollowhitch.net import clients, front
 from hollowhitch.net import engines as engines_module
+from hollowhitch.net.arrivals import Receiver
 from hollowhitch.net.dial import dial
 from hollowhitch.net.timers import Timers
 from hollowhitch.protocol import frames
@@ -273,6 +275,50 @@
     assert 1 < len(shares) <= most and max(shares) < 5
 
 
+def count_reads(monkeypatch, behind: bool) -> list[int]:
+    """The bytes of each read from a client from now on, of connections that count as behind."""
+    counts, receive = [], Receiver.receive
+
+    def counted(self, room):
+        received = receive(self, room)
+        counts.append(received.count)
+        return received
+
+    monkeypatch.setattr(Receiver, "receive", counted)
+    monkeypatch.setattr(Receiver, "behind", property(lambda self: behind))
+    return counts
+
+
+def test_what_comes_after_bytes_that_are_no_frame_is_not_read_in_small_pieces(start, monkeypatch):
+    """Guards everybody else: 2,000 reads of 4 bytes kept the loop from all other connections for 0.5 s."""
+    proxy, _ = start(rows)
+    client = Client(proxy)
+    counts = count_reads(monkeypatch, behind=True)
+    client.sock.sendall(b"\xff" * 40)
+    assert client.answer()[:2] == (0, frames.FAILED)
+    while not all(c.shut for c in proxy.front.connections):
+        gevent.sleep(0.001)
+    counts.clear()
+    with contextlib.suppress(OSError):
+        client.sock.sendall(b"\xff" * 1_000_000)
+    while proxy.front.connections:
+        gevent.sleep(0.001)
+    assert 0 < len(counts) < 50
+
+
+def test_a_reader_that_always_finds_bytes_gives_way_to_the_others(start, monkeypatch):
+    proxy, _ = start(rows)
+    flood, other = Client(proxy), Client(proxy)
+    counts = count_reads(monkeypatch, behind=True)
+    ask = frames.format_frame(frames.ASK_READY, 1)
+    flood.sock.sendall(ask * 20_000)
+    while not counts:
+        gevent.sleep(0)
+    other.send(frames.ASK_READY, 1)
+    assert other.read()[0] == frames.READY
+    assert len(counts) < 20_000  # of the 40,000 that reading all of the flood takes
+
+
 def test_an_engine_that_drains_meanwhile_is_sent_nothing(start, monkeypatch):
     """The drain rule is checked again just before a request is written."""
     proxy, (engine,) = start(rows)
