Hear operators at the console, and decide in one lifecycle what is held and closed

Nothing listened at console, so no order ever arrived. The state of the process stood in flags of the front, and only a signal could set them, for good.

Change: hollowhitch/console/ hears the calls, bounded in connections, bytes and time, with descriptors of its own. hollowhitch/lifecycle.py holds the state and alone says whether the process is ready, a connection is accepted, a request taken, an attempt sent, and what becomes of each client connection; the front's flags are gone. policy/membership.py lays operators' orders over the lists. audit.py counts and logs violations where the process acts: a connection held past its time, one closed over an open request, a request about to be written to an engine that is out, requests open at the exit.

Why it works: while clients are sent away, each connection is asked about every 20 ms. An undrain takes back whatever is not closed. An engine that is out shows as draining to the module, and is looked up again before each write.

Found on the way: a connection that was ending could be evicted for room over its open requests; one that was ending with half a frame was not closed in time.

--- a/hollowhitch/__main__.py
+++ b/hollowhitch/__main__.py
@@ -20,8 +20,12 @@
 
 from hollowhitch import config as configuration
 from hollowhitch import log
+from hollowhitch.audit import Audit, Rule
 from hollowhitch.clock import US_PER_S, Clock
+from hollowhitch.console.server import Console
 from hollowhitch.gateway import Gateway
+from hollowhitch.lifecycle import Event as LifecycleEvent
+from hollowhitch.lifecycle import Lifecycle, State
 from hollowhitch.metrics import Metrics
 from hollowhitch.net.channel import ChannelFollower
 from hollowhitch.net.engines import EnginePools
@@ -30,6 +34,7 @@
 from hollowhitch.net.timers import Timers
 from hollowhitch.policy.control import tolerated_doubt_us
 from hollowhitch.policy.interface import ListKind
+from hollowhitch.policy.membership import Listing, Membership
 from hollowhitch.policy.start_times import StartTimes
 from hollowhitch.protocol.channel import Command
 from hollowhitch.shutdown import plan_shutdown
@@ -47,28 +52,87 @@
         self.start_times = StartTimes(
             self.clock.now_us(), self.clock.from_wall_us, tolerated_doubt_us(config.settings.rules)
         )
+        self.lifecycle = Lifecycle(plan_shutdown(config.settings.classes))
+        self.audit = Audit(self.metrics)
+        self.membership = Membership()
         self.live = False  # lists come from the channel, no longer from the configuration
         timers = Timers()
         self.heartbeat = Heartbeat(self.clock, self.metrics)
-        self.pools = EnginePools(config, self.clock, timers.later, self.metrics, self.heartbeat)
+        self.pools = EnginePools(
+            config,
+            self.clock,
+            timers.later,
+            self.metrics,
+            self.heartbeat,
+            self.lifecycle,
+            self.membership,
+            self.audit,
+        )
         self.gateway = Gateway(
             config.settings, config.seed, self.pools, timers.later, self.clock, self.metrics
         )
         self.pools.gateway = self.gateway
-        self.front = Front(config, self.gateway, self.heartbeat)
+        self.front = Front(config, self.gateway, self.heartbeat, self.lifecycle, self.audit)
         self.channel = ChannelFollower(config.cursor, self.apply, self.metrics, config.seed)
+        self.console: Console | None = None
+        if config.console is not None:
+            self.console = Console(config.console, self, config.callers_most, self.metrics, self.clock)
         self.end = Event()  # set to end in order
 
     def apply(self, command: Command) -> None:
-        """A change to the list: first to the pools, so that every engine the module hears of has one."""
+        """Take in a change to the list."""
         if command.engines is not None:
             engines = self.start_times.translate(command.engines, self.clock.now_us(), self.live)
-            self.pools.relist(engines, command.addresses)
-            self.gateway.relist(engines)
+            self._relist(self.membership.apply(engines, command.addresses))
+
+    def _relist(self, listing: Listing) -> None:
+        """First to the pools, so that every engine the module hears of has one."""
+        self.pools.relist(listing.engines, listing.addresses)
+        self.gateway.relist(listing.engines)
+
+    # What operators ask for, by the console
+
+    def ready(self) -> bool:
+        return self.front.ready()
+
+    def drain(self) -> bool:
+        return self._change_state(LifecycleEvent.DRAIN)
+
+    def undrain(self) -> bool:
+        return self._change_state(LifecycleEvent.UNDRAIN)
+
+    def disable(self, engine: str) -> bool:
+        return self._change_engine("disabled", engine, self.membership.disable(engine, self.clock.now_us()))
+
+    def enable(self, engine: str) -> bool:
+        return self._change_engine("enabled", engine, self.membership.enable(engine, self.clock.now_us()))
+
+    def _change_engine(self, change: str, engine: str, listing: Listing | None) -> bool:
+        if listing is None:
+            return False
+        log.event("membership", change, engine=engine)
+        self._relist(listing)
+        return True
+
+    def _change_state(self, event: LifecycleEvent) -> bool:
+        was = self.lifecycle.state
+        accepted = self.lifecycle.handle(event, time.monotonic())
+        log.event(
+            "lifecycle",
+            event.value,
+            accepted=accepted,
+            was=was.value,
+            state=self.lifecycle.state.value,
+            open=self.gateway.unanswered,
+            connections=len(self.front.connections),
+        )
+        self.front.lifecycle_changed()
+        return accepted
 
     def start(self) -> None:
         if self.config.unread:
             log.event("configuration", "keys that nothing reads", keys=",".join(self.config.unread))
+        self._listen("console", self.console)
         first = True
         for command in self.config.known:
             if first and command.engines is not None:
@@ -80,12 +144,18 @@
         self.channel.follow(self.config.channel)
         gevent.spawn(self.pools.sweep_forever)
         self.heartbeat.start()
-        try:
-            self.front.start()
-        except OSError as e:
-            raise configuration.ConfigError(f"listen: {e}") from None
+        self._listen("listen", self.front)
         host, port = self.front.address
         log.event("proxy", "listens", name=self.config.name, address=f"{host}:{port}")
+        self._change_state(LifecycleEvent.STARTED)
+
+    def _listen(self, key: str, listening: Console | Front | None) -> None:
+        if listening is None:
+            return
+        try:
+            listening.start()
+        except OSError as e:
+            raise configuration.ConfigError(f"{key}: {e}") from None
 
     def reread(self, env: Mapping[str, str]) -> None:
         """The file was replaced: follow the channel it names. All else in it holds from the next start on.
@@ -102,7 +172,7 @@
 
     def run(self) -> int:
         for number in (signal.SIGTERM, signal.SIGINT):
-            gevent.signal_handler(number, self.end.set)
+            gevent.signal_handler(number, self.stop)
         gevent.signal_handler(signal.SIGHUP, self.reread, os.environ)
         gevent.signal_handler(signal.SIGUSR1, self.write_metrics)
         gc.collect()
@@ -115,27 +185,38 @@
         self.finish()
         return 0
 
+    def stop(self) -> None:
+        """Begin to end; nothing undoes it."""
+        self._change_state(LifecycleEvent.STOP)
+        self.end.set()
+
     def finish(self) -> None:
         """End within the budget that the settings give, with every request answered."""
         began = time.monotonic()
-        plan = plan_shutdown(self.config.settings.classes)
-        self._log_stage("draining", began)
-        self.front.drain()
-        self.gateway.closing(int(plan.answer_by_s * US_PER_S))
-        self._wait_until(began + plan.accept_until_s, lambda: False)
+        if self.lifecycle.state is not State.STOPPING:
+            self.stop()
+        self.gateway.closing(int(self.lifecycle.serves_for_s * US_PER_S))
+        self._wait_until(lambda now: not self.lifecycle.accepts(now))
         self._log_stage("accepts and takes nothing more", began)
         self.front.stop_accepting()
-        self._wait_until(began + plan.answer_by_s, lambda: not self.front.connections)
+        gevent.sleep(POLL_S)  # what was accepted last is served from now on
+        self._wait_until(lambda now: self.lifecycle.gives_up(now) or not self.front.connections)
         self._log_stage("ends what is open", began)
         self.gateway.give_up_all()
-        self._wait_until(began + plan.exit_by_s, lambda: not self.front.connections)
+        self._wait_until(lambda now: self.lifecycle.must_exit(now) or not self.front.connections)
         self._log_stage("ended", began)
+        if self.gateway.unanswered:
+            self.audit.violated(Rule.OPEN_AT_EXIT, open=self.gateway.unanswered)
         self.front.close_all()
+        if self.console is not None:
+            self.console.close()
+        self._change_state(LifecycleEvent.EXITED)
         self.write_metrics()
 
-    def _wait_until(self, until: float, done: Callable[[], bool]) -> None:
-        while (left := until - time.monotonic()) > 0 and not done():
-            gevent.sleep(min(POLL_S, left))
+    def _wait_until(self, due: Callable[[float], bool]) -> None:
+        """Wait until a stage of the end is due, at a time in monotonic seconds."""
+        while not due(time.monotonic()):
+            gevent.sleep(POLL_S)
 
     def _log_stage(self, stage: str, began: float) -> None:
         log.event(
--- a/hollowhitch/config.py
+++ b/hollowhitch/config.py
@@ -27,11 +27,14 @@
 SPARE_SOCKETS = 24  # of the limit, a quarter at most: for the log, the loop, the listener, the channel
 ENGINES_SHARE = 0.25  # of the limit, for connections to all engines together, however many
 ENGINES_FEW = 16  # of that, for one: with more engines than this they share what there is
+CALLERS_SHARE, CALLERS_LEAST, CALLERS_MOST = 1 / 16, 8, 64  # of the limit, for operators' calls
 SOCKETS_LEAST = 32
 OWN_MB, REST_LEAST_MB = 20, 4  # what the program takes by itself, measured; what is taken to be left at least
 HELD_SHARE, HELD_MOST = 0.5, 32 << 20  # of the rest: statements, half-read frames, unwritten answers; bytes
 QUERY_BYTES = 3_000  # of the books on an open query
-KEYS = frozenset({"name", "listen", "seed", "limits", "channel", "known", "settings"})  # of the file
+KEYS = frozenset(
+    {"name", "listen", "seed", "limits", "channel", "known", "settings", "console"}
+)  # of the file
 
 
 @dataclass(frozen=True, slots=True)
@@ -40,6 +43,7 @@
     listen: Address
     seed: int
     channel: Address | None
+    console: Address | None  # where operators call
     known: tuple[Command, ...]
     cursor: int  # of the last event that is known
     settings: Settings
@@ -48,6 +52,7 @@
     streams_per_connection: int
     open_most: int
     clients_most: int  # client connections
+    callers_most: int  # operators' connections
     engine_sockets_most: int  # connections to one engine
     engines_sockets_most: int  # connections to all engines together
     held_most: int  # bytes held for clients
@@ -71,6 +76,12 @@
         raise ConfigError(f"{table.key(name)}: {e}") from None
 
 
+def _console(table: Table, env: Mapping[str, str]) -> Address | None:
+    default = env.get("ROUTER_CONSOLE")
+    wanted = table.raw.get("console") or default
+    return _address(table, "console", default, 0) if wanted else None  # port 0: any free one
+
+
 def _seed(text: str) -> int:
     try:
         return int(text, 16)
@@ -106,11 +117,14 @@
     held = min(int(max(memory_mb - OWN_MB, REST_LEAST_MB) * HELD_SHARE * (1 << 20)), HELD_MOST)
     for_engines = int(sockets * ENGINES_SHARE)
     known, cursor = _known(top.table("known", {}))
+    console = _console(top, env)
+    callers_most = min(max(int(sockets * CALLERS_SHARE), CALLERS_LEAST), CALLERS_MOST) if console else 0
     return Config(
         name=top.text("name", env.get("ROUTER_NAME", NEEDED)),
         listen=_address(top, "listen", env.get("ROUTER_LISTEN"), 0),  # 0: any free port
         seed=_seed(top.text("seed", "0")),
         channel=_address(top, "channel") if top.raw.get("channel") else None,
+        console=console,
         known=known,
         cursor=cursor,
         settings=settings,
@@ -118,7 +132,8 @@
         keepalive_us=_count(bounds, "keepaliveUs"),
         streams_per_connection=_count(bounds, "streamsPerConn"),
         open_most=min(_count(bounds, "maxOpen"), held // QUERY_BYTES),
-        clients_most=sockets - for_engines - min(SPARE_SOCKETS, sockets // 4),
+        clients_most=sockets - for_engines - min(SPARE_SOCKETS, sockets // 4) - callers_most,
+        callers_most=callers_most,
         engine_sockets_most=max(2, for_engines // ENGINES_FEW),  # and two more for a while
         engines_sockets_most=for_engines,
         held_most=held,
--- a/hollowhitch/metrics.py
+++ b/hollowhitch/metrics.py
@@ -90,6 +90,10 @@
         )
         self.ejections = Counter("hollowhitch_ejections_total", "reason", "Engines ejected, by the reason.")
         self.clock_steps = Counter("hollowhitch_clock_steps_total", "way", "Steps of the wall clock, by way.")
+        self.orders = Counter("hollowhitch_orders_total", "path_status", "Calls to the console, by answer.")
+        self.violations = Counter(
+            "hollowhitch_violations_total", "rule", "Rules found broken by the process itself."
+        )
         self.latency = Histogram("hollowhitch_latency_seconds", "From taking a request to its answer.")
         self.cpu_seconds = Gauge("hollowhitch_cpu_seconds", "Processor time used.")
         self.memory_bytes = Gauge("hollowhitch_memory_bytes", "The most memory held so far.")
--- a/hollowhitch/net/arrivals.py
+++ b/hollowhitch/net/arrivals.py
@@ -10,10 +10,7 @@
 
 from __future__ import annotations
 
-import array
-import fcntl
 import struct
-import termios
 from collections.abc import Callable
 from dataclasses import dataclass
 
@@ -23,6 +20,7 @@
 from hollowhitch.clock import STEP_LEAST_US, Clock, wall_time_us
 from hollowhitch.net.failures import Call, retried
 from hollowhitch.net.heartbeat import Heartbeat
+from hollowhitch.net.unread import unread_bytes
 
 SO_TIMESTAMPNS = 35  # Linux; the socket module does not name it
 STAMP = struct.Struct("qq")  # seconds, nanoseconds on the Unix clock
@@ -54,16 +52,6 @@
         return None
 
 
-def _unread(sock: socket.socket) -> int:
-    """Bytes that have come and were not read."""
-    count = array.array("i", [0])
-    try:
-        fcntl.ioctl(sock.fileno(), termios.FIONREAD, count)
-    except OSError:
-        return 0
-    return count[0]
-
-
 @dataclass(frozen=True, slots=True)
 class Received:
     """What one read tells, in microseconds on the clock."""
@@ -111,7 +99,7 @@
         behind, self._paused = self._behind_until_us > 0, None
         earliest_us, offset_us = self._oldest if behind else self._alive()
         at_us = self._arrived_us(ancillary, now_us, earliest_us, offset_us, behind)
-        if not behind or not _unread(self._sock):
+        if not behind or not unread_bytes(self._sock):
             self._behind_until_us = 0
             return Received(count, at_us, at_us)
         # The kernel joins what waits, and keeps the newest time alone: it may have come long before.
--- a/hollowhitch/net/clients.py
+++ b/hollowhitch/net/clients.py
@@ -2,11 +2,8 @@
 
 from __future__ import annotations
 
-import array
 import contextlib
 import enum
-import fcntl
-import termios
 import time
 from typing import TYPE_CHECKING
 
@@ -14,9 +11,12 @@
 from gevent import socket
 
 from hollowhitch import log
+from hollowhitch.audit import Rule
 from hollowhitch.gateway import Answer, Failed, Query, Refused, Served
+from hollowhitch.lifecycle import ConnectionFacts, Stage
 from hollowhitch.net.arrivals import Received, Receiver, want_times
 from hollowhitch.net.outbox import Outbox
+from hollowhitch.net.unread import unread_bytes
 from hollowhitch.protocol import frames
 from hollowhitch.protocol.tables import table_group
 
@@ -29,7 +29,7 @@
 WHOLE_S = 2.0  # from connecting, or from a frame's first byte, until it is whole
 FRESH_S = 0.25  # after connecting, in which a request may well be on its way
 LINGER_S = 0.5  # for the client to read what was written and to close, after we have shut our side
-UNREAD_S = 0.01  # between looks whether all is read before our side is shut
+UNREAD_S, OPEN_S = 0.01, 0.05  # between looks whether all is read, or answered, before our side is shut
 TURN = 32  # frames read from one connection before others have a turn
 PACE_S, PACE_MOST_S = 0.01, 0.5  # pause in reading, for each frame so far that could not be used
 PACE_OPEN_MOST_S = 0.05  # of that, while requests are open: a cancel must be heard within 0.1 s
@@ -45,6 +45,7 @@
     NO_WHOLE_FRAME = "no whole frame in time"
     NO_FRAME = "bytes that are no frame"
     NO_PLACE = "no place"
+    DRAIN = "drain"
     SHUTDOWN = "shutdown"
     FAULT = "fault"
 
@@ -63,11 +64,16 @@
         self.receiver = Receiver(sock, front.gateway.clock, front.heartbeat, waited_since_us)
         self.queries: dict[int, Query] = {}  # by stream
         self.warned = False
-        self.ending = False  # our side will be shut as soon as nothing is open
+        self.stage = Stage.SERVE  # what the process's lifecycle wants of it
         self.shut = False  # our side is shut
         self.closed = False
         self.asked = False  # it has sent a whole frame
-        self.moved = self.frame_since = time.monotonic()  # last byte read or answer; first byte of a frame
+        self.opened = self.moved = self.frame_since = (
+            time.monotonic()
+        )  # last byte or answer; a frame's first byte
+        self.last_request: float | None = None
+        self.last_answer: float | None = None
+        self._end_reason: CloseReason | None = None  # for an end that nothing takes back
         self.offences = 0
         self._writer: gevent.Greenlet | None = None
 
@@ -90,12 +96,45 @@
 
     # Its end
 
+    @property
+    def ending(self) -> bool:
+        """Will our side be shut as soon as nothing is open?"""
+        return self._end_reason is not None or self.stage is not Stage.SERVE
+
     def end(self, reason: CloseReason) -> None:
         """Shut our side as soon as nothing is open on it, and close it soon after."""
         if not self.ending:
-            self.ending = True
             self._count_close(reason)
-            self.outbox.finish()
+        self._end_reason = self._end_reason or reason
+        self.outbox.finish()
+
+    @property
+    def facts(self) -> ConnectionFacts:
+        """What the lifecycle's decision goes by."""
+        return ConnectionFacts(self.opened, self.last_request, self.last_answer, len(self.protocol.open))
+
+    def follow(self, stage: Stage, reason: CloseReason) -> None:
+        """Do as the lifecycle wants, which may take back that the connection is to end."""
+        if stage is not Stage.SERVE and not self.ending:
+            self._count_close(reason)
+        self.stage = stage
+        if stage is Stage.SERVE:
+            if self._end_reason is None:
+                self.outbox.resume()
+            return
+        self.outbox.finish()
+        if stage is Stage.ANSWER_AND_END:
+            self._answer_all()
+        elif stage is Stage.CLOSE:
+            self._answer_all()
+            self.hang_up(reason)
+
+    def _answer_all(self) -> None:
+        """Whatever is open gets its final answer now; a frame that is not whole is not waited for."""
+        for query in list(self.queries.values()):
+            self.front.gateway.give_up(query)
+        if len(self.protocol.buffer) and not self.protocol.broken and not unread_bytes(self.sock):
+            self._take(self.protocol.give_up(CloseReason.NO_WHOLE_FRAME.value))
 
     def close(self) -> None:
         """Close it now. Nobody waits for what is still open."""
@@ -115,9 +154,21 @@
 
     def hang_up(self, reason: CloseReason) -> None:
         """Close it now, for a reason of ours."""
-        self._count_close(reason)
+        if self.closed:
+            return
+        if not self.ending:
+            self._count_close(reason)
+        if self.queries:
+            refs = ",".join(query.ref for query in self.queries.values())
+            self.front.audit.violated(Rule.CLOSED_UNANSWERED, reason=reason.value, refs=refs)
+        self._shut()
         self.close()
 
+    def _shut(self) -> None:
+        self.shut = True
+        with contextlib.suppress(OSError):
+            self.sock.shutdown(socket.SHUT_WR)
+
     def discard_unread(self) -> None:
         """Closing over unread bytes would reset the connection, and what was written last could be lost."""
         if not self.shut:
@@ -138,15 +189,18 @@
             self.warned = True
             self.outbox.put(frames.format_frame(frames.CLOSING, 0))
 
+    def take_back_warning(self) -> None:
+        """Requests are welcome again; a later warning is sent anew."""
+        self.warned = False
+
     def _write(self) -> None:
         try:
             while True:
                 self.outbox.run()
-                if not self._owes_an_answer():
+                if self.outbox.closed or (self.ending and not self._owes_an_answer()):
                     break
-                gevent.sleep(UNREAD_S)
-            self.shut = True
-            self.sock.shutdown(socket.SHUT_WR)
+                gevent.sleep(OPEN_S if self.protocol.open else UNREAD_S)
+            self._shut()
             gevent.sleep(LINGER_S)
         except OSError:
             pass
@@ -156,7 +210,7 @@
         """Is anything open, unread or half read?"""
         if self.protocol.broken:
             return bool(self.protocol.open)
-        return bool(self.protocol.open or len(self.protocol.buffer) or self.pending())
+        return bool(self.protocol.open or len(self.protocol.buffer) or unread_bytes(self.sock))
 
     # Reading
 
@@ -220,15 +274,15 @@
     def overdue(self, now: float) -> CloseReason | None:
         """Why it is to be closed by now, if it is. One that is quiet between requests may be
         so for long, one that never came to the point or stopped within a frame may not."""
-        if self.ending or self.protocol.broken:
+        if self.protocol.broken or self.shut:
             return None
         if not self.asked or len(self.protocol.buffer) or self.protocol.skipping:
             return CloseReason.NO_WHOLE_FRAME if now - self.frame_since > WHOLE_S else None
-        quiet = not self.protocol.open and self.outbox.idle
+        quiet = not self.ending and not self.protocol.open and self.outbox.idle
         return CloseReason.IDLE if quiet and now - self.moved > IDLE_S else None
 
     def end_overdue(self, reason: CloseReason) -> None:
-        if self.pending():
+        if unread_bytes(self.sock):
             return  # it is we who are late
         if reason is CloseReason.IDLE:
             self.end(reason)
@@ -238,7 +292,7 @@
 
     def rank(self, now: float) -> int | None:
         """Whom to part with first where all places are taken; None: it waits for an answer of ours."""
-        if self.ending:
+        if self.shut or (self.ending and not self.protocol.open):
             return 0
         if self.protocol.open or not self.outbox.idle:
             return None
@@ -246,20 +300,13 @@
             return 1 if now - self.frame_since > FRESH_S else 3
         return 2
 
-    def pending(self) -> bool:
-        """Has it sent what we have not read yet?"""
-        count = array.array("i", [0])
-        if not self.closed:
-            with contextlib.suppress(OSError):
-                fcntl.ioctl(self.sock.fileno(), termios.FIONREAD, count)
-        return count[0] > 0
-
     # Requests and answers
 
     def _take(self, event: frames.FrameEvent, received: Received | None = None) -> None:
         match event:
             case frames.Request():
                 assert received is not None
+                self.last_request = time.monotonic()
                 self.front.arrivals.add(received.at_us, lambda: self._begin(event, received.since_us))
             case frames.Gone():
                 query = self._forget(event.stream)
@@ -271,6 +318,7 @@
                 code = frames.YES if self.front.ready() else frames.NO
                 self.outbox.put(frames.format_ready(event.stream, code))
             case frames.BadRequest():
+                self.last_request = time.monotonic()
                 self.offences += 1
                 if event.crowded:
                     self._answer(event.stream, self.front.turned_away("crowded"))
@@ -328,7 +376,7 @@
         if stream not in self.protocol.open:
             return
         self.protocol.answered(stream)
-        self.moved = time.monotonic()
+        self.moved = self.last_answer = time.monotonic()
         match answer:
             case Served():
                 frame = frames.format_answer(stream, frames.SERVED, {}, answer.body)
--- a/hollowhitch/net/engines.py
+++ b/hollowhitch/net/engines.py
@@ -4,6 +4,7 @@
 
 import contextlib
 import functools
+import time
 from collections import deque
 from collections.abc import Mapping
 
@@ -11,15 +12,18 @@
 from gevent import socket
 
 from hollowhitch import log
+from hollowhitch.audit import Audit, Rule
 from hollowhitch.clock import Clock
 from hollowhitch.config import Address, Config
 from hollowhitch.gateway import Attempt, CallLater, Gateway
+from hollowhitch.lifecycle import Lifecycle
 from hollowhitch.metrics import Metrics
 from hollowhitch.net.dial import DialError, dial
 from hollowhitch.net.failures import Blame, Call, retried
 from hollowhitch.net.heartbeat import Heartbeat
 from hollowhitch.net.outbox import Outbox
 from hollowhitch.policy.interface import EngineList, EngineState, ListKind, LoadReport, Outcome, ProbeEnded
+from hollowhitch.policy.membership import Membership
 from hollowhitch.protocol.lines import EngineProtocol
 
 OUTBOX_MOST = 1 << 20  # bytes that wait on one connection before another is used
@@ -67,7 +71,7 @@
             return b""
         owner = self.pool.owner
         wait_ms = (attempt.until_us - owner.clock.now_us()) // 1000
-        if not self.pool.ready or wait_ms < 1:
+        if not self.pool.ready or wait_ms < 1 or not owner.may_send(self.pool.id, query.ref):
             # Guards the drain rule: the engine may have begun to drain since the module chose it.
             del self.attempts[query.ref]
             gevent.spawn(owner.gateway.ended, attempt, Outcome.MOOT)
@@ -259,10 +263,19 @@
     gateway: Gateway  # set once both stand
 
     def __init__(
-        self, config: Config, clock: Clock, call_later: CallLater, metrics: Metrics, heartbeat: Heartbeat
+        self,
+        config: Config,
+        clock: Clock,
+        call_later: CallLater,
+        metrics: Metrics,
+        heartbeat: Heartbeat,
+        lifecycle: Lifecycle,
+        membership: Membership,
+        audit: Audit,
     ) -> None:
         self.config, self.clock, self.call_later, self.metrics = config, clock, call_later, metrics
-        self.heartbeat = heartbeat
+        self.heartbeat, self.lifecycle = heartbeat, lifecycle
+        self.membership, self.audit = membership, audit
         self.reports = config.settings.reports_with_answers
         self.pools: dict[str, Pool] = {}
         self._tags = 0
@@ -271,6 +284,16 @@
     def sockets(self) -> int:
         return sum(len(pool.connections) + pool.dialing for pool in self.pools.values())
 
+    def may_send(self, engine: str, ref: str) -> bool:
+        """The last look before a request is written. What it stops should have been stopped before."""
+        if self.membership.is_disabled(engine):
+            self.audit.violated(Rule.SENT_TO_DISABLED, engine=engine, ref=ref)
+            return False
+        if not self.lifecycle.may_send(time.monotonic()):
+            self.audit.violated(Rule.SENT_WHILE_STOPPING, engine=engine, ref=ref)
+            return False
+        return True
+
     def make_room(self, needed: bool) -> bool:
         """May one more be dialed? All engines share one bound. Where it is reached and the dial is needed,
         the connection unused for longest gives way, whichever engine it leads to."""
--- a/hollowhitch/net/front.py
+++ b/hollowhitch/net/front.py
@@ -6,38 +6,46 @@
 
 import gevent
 from gevent import socket
+from gevent.event import Event
 
 from hollowhitch import log
+from hollowhitch.audit import Audit, Rule
 from hollowhitch.config import Config
 from hollowhitch.gateway import Gateway, Refused
+from hollowhitch.lifecycle import Lifecycle, Stage, State
 from hollowhitch.net.arrivals import Arrivals
 from hollowhitch.net.clients import ClientConnection, CloseReason
 from hollowhitch.net.heartbeat import Heartbeat
 from hollowhitch.net.listener import Listener
+from hollowhitch.net.unread import unread_bytes
 from hollowhitch.protocol import frames
 
 SWEEP_S = 0.25  # between looks at who is past its time
+ENFORCE_S = 0.02  # between looks at who is to end, while clients are sent away
 EVICTED = 8  # connections closed at once to make room: whoever is there too many seldom comes alone
 
 
 class Front:
     """The listener and all its connections."""
 
-    def __init__(self, config: Config, gateway: Gateway, heartbeat: Heartbeat) -> None:
+    def __init__(
+        self, config: Config, gateway: Gateway, heartbeat: Heartbeat, lifecycle: Lifecycle, audit: Audit
+    ) -> None:
         self.config, self.gateway, self.heartbeat = config, gateway, heartbeat
+        self.lifecycle, self.audit = lifecycle, audit
         self.arrivals = Arrivals()
         self.terms = frames.Terms(config.settings)
         self.refs: set[str] = set()  # of the requests that are open
         self.connections: set[ClientConnection] = set()
         self.held = 0  # bytes of the statements that are open
-        self.draining = False  # asked to end: not ready, and clients are told so
-        self.refusing = False  # takes no new request
+        self._sends_away = Event()  # set while clients are asked to go
         self._listener = Listener(config.listen, self._serve, gateway.metrics, gateway.clock)
 
     def start(self) -> None:
         """Listen; OSError if the address can't be had."""
         self._listener.start()
         gevent.spawn(self._sweep_forever)
+        gevent.spawn(self._enforce_forever)
 
     @property
     def address(self) -> tuple[str, int]:
@@ -50,7 +58,7 @@
             return
         connection = ClientConnection(self, sock, waited_since_us)
         self.connections.add(connection)
-        if self.draining:
+        if self.lifecycle.sends_clients_away:
             connection.warn()
         connection.run()
 
@@ -71,7 +79,7 @@
         ranked = [(rank, c.moved, id(c), c) for c in self.connections if (rank := c.rank(now)) is not None]
         free = EVICTED
         for rank, _, _, connection in sorted(ranked):
-            if rank != 0 and (connection.pending() or len(connection.protocol.buffer)):
+            if rank != 0 and (unread_bytes(connection.sock) or len(connection.protocol.buffer)):
                 continue
             connection.hang_up(CloseReason.NO_PLACE)
             free -= 1
@@ -82,12 +90,13 @@
     # What is taken
 
     def ready(self) -> bool:
-        return not self.draining and any(self.gateway.controller.open_for)
+        """Is this process ready to serve, and is there an engine?"""
+        return self.lifecycle.ready and any(self.gateway.controller.open_for)
 
     def turns_away(self, size: int) -> str:
         """Why a request of this size (bytes) can't be taken now; empty if it can."""
-        if self.refusing:
-            return "shutdown"
+        if refusal := self.lifecycle.refusal(time.monotonic()):
+            return refusal.value
         return "crowded" if self.crowded(size) else ""
 
     def crowded(self, more: int) -> bool:
@@ -105,24 +114,46 @@
         log.event("refused", "not taken", reason=reason)
         return Refused(self.gateway.settings.limits.retry_after_us or 0)
 
-    # The end
+    # Sending clients away
 
-    def drain(self) -> None:
-        """Ask all clients to send nothing new here; serve on."""
-        self.draining = True
+    def lifecycle_changed(self) -> None:
+        """Tell all clients to send nothing new here, or take that back; connections follow from now on."""
+        if self.lifecycle.sends_clients_away:
+            for connection in list(self.connections):
+                connection.warn()
+            self._sends_away.set()
+            return
+        self._sends_away.clear()
         for connection in list(self.connections):
-            connection.warn()
+            connection.take_back_warning()
+            connection.follow(Stage.SERVE, CloseReason.DRAIN)
+
+    def _enforce_forever(self) -> None:
+        while True:
+            self._sends_away.wait()
+            try:
+                self.enforce()
+            except Exception as e:  # one connection must not keep the others from being closed
+                log.event("fault", "sending clients away failed", error=repr(e))
+            gevent.sleep(ENFORCE_S)
+
+    def enforce(self) -> None:
+        """Let each connection follow the lifecycle."""
+        now, held = time.monotonic(), 0
+        drains = self.lifecycle.state is State.DRAINING
+        reason = CloseReason.DRAIN if drains else CloseReason.SHUTDOWN
+        for connection in list(self.connections):
+            facts = connection.facts
+            held += self.lifecycle.held_too_long(facts, now)
+            connection.follow(self.lifecycle.stage(facts, now), reason)
+        if held:
+            self.audit.violated(Rule.HELD_WHILE_DRAINED, connections=held)
 
     def stop_accepting(self) -> None:
-        """Take no connection and no request any more; end each connection once nothing is open on it."""
+        """Take no connection any more."""
         self._listener.close()
-        self.refusing = True
-        gevent.sleep(0)  # what was accepted last is served from now on
-        for connection in list(self.connections):
-            connection.warn()
-            connection.end(CloseReason.SHUTDOWN)
 
     def close_all(self) -> None:
         """Close what is still there."""
         for connection in list(self.connections):
-            connection.close()
+            connection.hang_up(CloseReason.SHUTDOWN)
--- a/hollowhitch/net/outbox.py
+++ b/hollowhitch/net/outbox.py
@@ -63,6 +63,10 @@
         self._finish = True
         self._wake.set()
 
+    def resume(self) -> None:
+        """Take back `finish`."""
+        self._finish = False
+
     def close(self) -> None:
         self.closed = True
         self._items.clear()
--- a/tests/test_fault_operators.py
+++ b/tests/test_fault_operators.py
@@ -119,5 +119,6 @@
         lambda: any(a.arrived_at > back.sent_at and a.server == out.name for a in lab.run.attempts)
     )
     sender.kill()
+    assert wait_for(lambda: all(request.answers for request in lab.run.requests))
     assert operator.disable(proxy, "s-nobody", expect_yes=False).status in range(400, 500)
     assert broken(lab) == []
--- a/tests/test_proxy.py
+++ b/tests/test_proxy.py
@@ -541,7 +541,8 @@
         host, _, port = run.stderr.readline().decode().split("address=")[-1].strip().rpartition(":")
         sock = socket.create_connection((host, int(port)))
         run.send_signal(signal.SIGHUP)
-        assert "read anew" in run.stderr.readline().decode()
+        while "read anew" not in (line := run.stderr.readline().decode()):
+            assert line
         run.send_signal(signal.SIGTERM)
         assert sock.recv(9) == frames.format_frame(frames.CLOSING, 0)
         assert run.wait(30) == 0
