Teach the fault test operators, and check every order and input from outside

Change: faults/ draws operators' orders from the seed beside its other troubles: drains of one process, of all at once or in turn, in series, undone; databases out by hand, doubled and restarted meanwhile; nonsense, half calls, broken files. A front stand-in asks ten times a second and opens connections only to who says yes. The checker of orders has a recorded break for each rule that it must find.

A yes that is answered after the order to undrain was sent, a 404 for a database that the proxy may not have heard of yet, and a no while every database is out are allowed; a port was taken by another run. Its rules for these have tests on both sides of the bound.

--- a/faults/__main__.py
+++ b/faults/__main__.py
@@ -25,11 +25,12 @@
     jobs: Annotated[int, typer.Option(help="Runs side by side, each a process of its own.")] = 1,
     json_file: Annotated[Path | None, typer.Option(help="Where to write the report as JSON.")] = None,
     logs: Annotated[Path | None, typer.Option(help="Where to keep the proxies' logs of failed runs.")] = None,
+    fleet: Annotated[bool, typer.Option(help="10 to 40 proxies in each run, instead of 1 to 6.")] = False,
 ) -> None:
     """Play runs drawn from seeds; exit with 1 if any breaks a rule."""
     numbers = range(first, first + seeds)
     with ThreadPoolExecutor(jobs) as pool:
-        reports = list(pool.map(lambda seed: play_apart(seed, seconds, logs), numbers))
+        reports = list(pool.map(lambda seed: play_apart(seed, seconds, logs, fleet), numbers))
     if json_file is not None:
         json_file.write_text(as_json(reports))
     typer.echo(as_table(reports))
@@ -41,16 +42,17 @@
     seed: int,
     seconds: Annotated[float, typer.Option(help="How long the run is disturbed.")] = 10.0,
     logs: Annotated[Path | None, typer.Option(help="Where to keep the proxies' logs.")] = None,
+    fleet: Annotated[bool, typer.Option(help="10 to 40 proxies, instead of 1 to 6.")] = False,
 ) -> None:
     """Play one seed in this process and print its report as JSON."""
-    typer.echo(as_json([play(seed, seconds, logs)]))
+    typer.echo(as_json([play(seed, seconds, logs, fleet)]))
 
 
-def play(seed: int, seconds: float, logs: Path | None) -> SeedReport:
+def play(seed: int, seconds: float, logs: Path | None, fleet: bool = False) -> SeedReport:
     """Build the fault library, play one seed, keep its logs if asked to."""
     with tempfile.TemporaryDirectory() as name:
         folder = Path(name)
-        report = play_seed(seed, folder, shim.build(folder), seconds)
+        report = play_seed(seed, folder, shim.build(folder), seconds, fleet)
         if logs is not None:
             target = logs / f"seed-{seed}"
             target.mkdir(parents=True, exist_ok=True)
--- a/faults/checker.py
+++ b/faults/checker.py
@@ -6,6 +6,7 @@
 from __future__ import annotations
 
 import math
+import re
 from collections import defaultdict
 from collections.abc import Iterable, Iterator
 from typing import Any
@@ -29,6 +30,7 @@
 WAIT_SLACK_S = 0.15
 CROSSING_S = 0.05  # a request that crosses a close by no more than this is the client's to send again
 READ_ORDER_S = 0.02  # two sockets' events may be read in the wrong order by this much
+VIOLATIONS = re.compile(r"^hollowhitch_violations_total{", re.MULTILINE)  # of a process, by its own count
 SMALL_BUDGET = 30  # calls below which the slow-start slack is 3 roots instead of 2
 
 
@@ -236,6 +238,8 @@
                     self._break("crash", ended_at, f"{life.proxy} ended with code {life.code}")
             elif life.killed_at is None and life.ended_at is not None:
                 self._break("crash", life.ended_at, f"{life.proxy} ended with code {life.code}")
+            if "topic=violation" in life.stderr or VIOLATIONS.search(life.stderr):
+                self._break("violation", life.ended_at or life.started_at, f"{life.proxy} found one itself")
             if "Traceback" in life.stderr:
                 self._break("crash", life.ended_at or life.started_at, f"{life.proxy} printed a traceback")
 
--- a/faults/lab.py
+++ b/faults/lab.py
@@ -15,6 +15,7 @@
 from faults.records import Run
 from faults.servers import Server
 
+WATCH_EVERY_S, STALL_S = 0.01, 0.03  # between looks at our own loop; a look so late is noted
 FIRST_HOST = 10  # servers listen at 127.0.1.10 and up, where the fault library knows them
 
 
@@ -41,6 +42,16 @@
         self.channel.tell(*(Member(s) for s in self.servers), complete=True)
         self.proxies = [Proxy(f"n{i}", folder, self.run, library) for i in range(proxies)]
         self.configure_all()
+        self._watch = gevent.spawn(self._watch_stalls)
+
+    def _watch_stalls(self) -> None:
+        """Note when the stand-ins themselves stood still: what they recorded then is late."""
+        while True:
+            before = time.monotonic()
+            gevent.sleep(WATCH_EVERY_S)
+            late_s = time.monotonic() - before - WATCH_EVERY_S
+            if late_s > STALL_S:
+                self.run.stalls.append((time.monotonic(), late_s))
 
     def new_server(self) -> Server:
         """A server that listens, which no list names yet."""
@@ -69,6 +80,7 @@
 
     def close(self) -> None:
         """End what still runs. What happens from now on is not part of the run."""
+        self._watch.kill()
         for proxy in self.proxies:
             if proxy.alive and proxy.process is not None:
                 proxy.process.kill()
--- a/faults/operators.py
+++ b/faults/operators.py
@@ -53,8 +53,9 @@
             status, _ = call(proxy.console, b"GET /ready HTTP/1.1\r\nHost: console\r\n\r\n")
         except (OSError, ValueError):
             return None
-        self.run.readiness.append(ReadinessRecord(proxy.name, "console", asked_at, 200 <= status < 300))
-        return 200 <= status < 300
+        ready = 200 <= status < 300
+        self.run.readiness.append(ReadinessRecord(proxy.name, "console", asked_at, time.monotonic(), ready))
+        return ready
 
 
 def call(address: tuple[str, int], request: bytes) -> tuple[int, str]:
--- a/faults/order_checker.py
+++ b/faults/order_checker.py
@@ -17,6 +17,9 @@
 RECENT_S = 2.0  # a connection with a request as recent as this is busy
 READY_AGAIN_S = 2.0  # after the drain has ended
 SLACK_S = 0.05
+HEARD_S = 0.25  # for news of the channel to reach a proxy that hears it
+TOLD_LATE_S = 7.0  # where calls to the channel are in trouble
+UNKNOWN = 404
 LOOK_EVERY_S = 0.5  # between looks at the connections of a drained proxy
 NEW_S = 0.5  # a connection so new may still be about to ask
 
@@ -67,15 +70,25 @@
         name = f"{order.path} {order.subject} at {order.proxy}"
         if order.answered_at is None or order.answered_at > by:
             self._break("order", by, f"{name} was not answered within {ORDER_WITHIN_S:g} s")
-        elif order.accepted != order.expect_yes:
+        elif order.accepted != order.expect_yes and not self._may_be_unknown(order):
             self._break("order", order.answered_at, f"{name} got {order.status} {order.text.strip()}")
 
+    def _may_be_unknown(self, order: OrderRecord) -> bool:
+        """Was the database told of so lately that the proxy may not have heard?"""
+        told = [state.told_at for state in self.run.states if state.server == order.subject]
+        if not told or order.status != UNKNOWN:
+            return False
+        first = min(told)
+        trouble = any(abs(first - at) < TOLD_LATE_S for at in self.run.channel_troubles)
+        return order.sent_at < first + (TOLD_LATE_S if trouble else HEARD_S)
+
     def _spans(self, begins: str, ends: str) -> Iterator[Span]:
         """Times in which an order stood: from its first call until the call that undoes it."""
         standing: dict[tuple[str, str], OrderRecord] = {}
         for order in sorted(self.run.orders, key=lambda o: o.sent_at):
             key = (order.proxy, order.subject)
-            if order.path == begins and order.expect_yes and not order.refused:
+            heard = order.accepted or (order.status is None and not order.refused)
+            if order.path == begins and heard:
                 first = standing.get(key)
                 if first is None or self._life_ended(first) < order.sent_at:
                     if first is not None:
@@ -98,11 +111,8 @@
 
     def _check_readiness(self, drain: Span) -> None:
         for answer in self.run.readiness:
-            if (
-                answer.proxy == drain.proxy
-                and answer.ready
-                and drain.answered < answer.asked_at < drain.until
-            ):
+            stood = drain.answered < answer.asked_at and answer.answered_at < drain.until
+            if answer.proxy == drain.proxy and answer.ready and stood:
                 after = answer.asked_at - drain.since
                 text = f"{drain.proxy} was told to drain, and {after:.2f} s later said that it is ready"
                 self._break("lost", answer.asked_at, f"{text} ({answer.way})")
--- a/faults/proxies.py
+++ b/faults/proxies.py
@@ -7,7 +7,7 @@
 import signal
 import sys
 import time
-from collections.abc import Mapping
+from collections.abc import Mapping, Sequence
 from pathlib import Path
 from typing import Any
 
@@ -21,6 +21,7 @@
 ROOT = Path(__file__).resolve().parent.parent
 READY_WITHIN_S = 20.0
 POLL_S = 0.02
+FIRST_NET, NETS = 16, 200  # proxies listen in 127.16.0.0 and up, a host for each process that runs a lab
 
 
 class ProxyNotReady(RuntimeError):
@@ -36,8 +37,7 @@
         self.log_path = folder / f"{name}.log"
         self.control = Control(folder / f"{name}.control")
         self.library = library
-        self.address = ("127.0.0.1", _free_port())
-        self.console = ("127.0.0.1", _free_port())
+        self.address, self.console = _free_address(), _free_address()
         self.process: subprocess.Popen | None = None
         self.life: ProxyLife | None = None
 
@@ -60,8 +60,8 @@
         partial.write_text(json.dumps(config))
         partial.replace(self.config_path)
 
-    def start(self, **environment: str) -> None:
-        """Start a process; it is not waited for."""
+    def start(self, pass_fds: Sequence[int] = (), **environment: str) -> None:
+        """Start a process, with descriptors that it inherits; it is not waited for."""
         env = {**os.environ, "ROUTER_CONFIG": str(self.config_path), **environment}
         if self.library is not None:
             env.update(self.control.environment(self.library))
@@ -69,7 +69,12 @@
         self.run.lives.append(self.life)
         with self.log_path.open("ab") as log:
             self.process = subprocess.Popen(
-                [sys.executable, "-m", "hollowhitch"], cwd=ROOT, env=env, stdout=log, stderr=log
+                [sys.executable, "-m", "hollowhitch"],
+                cwd=ROOT,
+                env=env,
+                stdout=log,
+                stderr=log,
+                pass_fds=pass_fds,
             )
         gevent.spawn(self._reap, self.process, self.life)
 
@@ -125,7 +130,9 @@
         return not self.alive
 
 
-def _free_port() -> int:
+def _free_address() -> tuple[str, int]:
+    """An address that stays free until it is used: no other run and no outgoing connection has its host."""
+    host = f"127.{FIRST_NET + os.getpid() % NETS}.{os.getpid() // NETS % 256}.1"
     with socket.socket() as sock:
-        sock.bind(("127.0.0.1", 0))
-        return sock.getsockname()[1]
+        sock.bind((host, 0))
+        return sock.getsockname()
--- a/faults/records.py
+++ b/faults/records.py
@@ -129,6 +129,7 @@
     proxy: str
     way: str  # frame or console
     asked_at: float
+    answered_at: float
     ready: bool
 
 
@@ -159,6 +160,7 @@
     readiness: list[ReadinessRecord] = field(default_factory=list)
     channel_troubles: list[float] = field(default_factory=list)  # when calls fell silent or were ended
     events: list[tuple[float, str]] = field(default_factory=list)  # what the driver did
+    stalls: list[tuple[float, float]] = field(default_factory=list)  # of the stand-ins: when, for how long
     injected: dict[str, int] = field(default_factory=dict)  # faults by kind
 
     def note(self, at: float, kind: str, text: str) -> None:
--- a/faults/report.py
+++ b/faults/report.py
@@ -11,6 +11,7 @@
 from faults.records import Break, Code, Run
 
 CONTEXT_S = 2.0  # of the driver's events before a break
+EVENTS_SHOWN = 16
 LATENCY_MOST_MS, LATENCY_DIGITS = 60_000, 3
 
 
@@ -25,13 +26,15 @@
     attempts: int
     injected: dict[str, int]
     latency_ms: dict[str, float]
+    orders: int  # calls to consoles that were answered
+    stall_ms: int  # the longest standstill of the stand-ins themselves
     breaks: list[dict[str, object]] = field(default_factory=list)
     error: str = ""
 
     @property
     def failed(self) -> bool:
-        """Broken rules, an error of the run itself, or a run that disturbed nothing."""
-        return bool(self.breaks or self.error or not self.injected)
+        """Broken rules, an error of the run itself, or a run that disturbed or ordered nothing."""
+        return bool(self.breaks or self.error or not self.injected or not self.orders)
 
 
 def summarize(seed: int, run: Run, proxies: int, breaks: list[Break]) -> SeedReport:
@@ -51,6 +54,8 @@
         attempts=len(run.attempts),
         injected=dict(sorted(run.injected.items())),
         latency_ms={f"p{p}": histogram.get_value_at_percentile(p) for p in (50, 99, 100)},
+        orders=sum(order.answered_at is not None for order in run.orders),
+        stall_ms=round(1000 * max((late_s for _, late_s in run.stalls), default=0.0)),
         breaks=[_describe(found, run, began) for found in breaks],
     )
 
@@ -59,7 +64,17 @@
     near = [
         f"{at - began:.3f} {text}" for at, text in run.events if found.at - CONTEXT_S <= at <= found.at + 0.5
     ]
-    return {"rule": found.rule, "at": round(found.at - began, 3), "what": found.text, "before": near[-12:]}
+    near += [
+        f"{at - began:.3f} the stand-ins stood still for {late_s:.3f} s"
+        for at, late_s in run.stalls
+        if abs(at - found.at) <= CONTEXT_S
+    ]
+    return {
+        "rule": found.rule,
+        "at": round(found.at - began, 3),
+        "what": found.text,
+        "before": near[-EVENTS_SHOWN:],
+    }
 
 
 def as_json(reports: list[SeedReport]) -> str:
@@ -68,12 +83,15 @@
 
 def as_table(reports: list[SeedReport]) -> str:
     """A line a seed, then each break."""
-    lines = [f"{'seed':>6} {'proxies':>7} {'requests':>8} {'served':>6} {'faults':>6} {'breaks':>6}"]
+    lines = [
+        f"{'seed':>6} {'proxies':>7} {'requests':>8} {'served':>6} {'faults':>6} {'orders':>6} "
+        f"{'stall':>6} {'breaks':>6}"
+    ]
     for report in reports:
         faults = sum(report.injected.values())
         lines.append(
             f"{report.seed:>6} {report.proxies:>7} {report.requests:>8} {report.answers.get('served', 0):>6} "
-            f"{faults:>6} {len(report.breaks):>6} {report.error}"
+            f"{faults:>6} {report.orders:>6} {report.stall_ms:>6} {len(report.breaks):>6} {report.error}"
         )
     for report in reports:
         for found in report.breaks:
--- a/faults/scenario.py
+++ b/faults/scenario.py
@@ -13,7 +13,9 @@
 
 from faults.channel import Member
 from faults.clients import ClientConnection, new_ref, new_replay
+from faults.front import Front
 from faults.lab import Lab
+from faults.orders import Orders
 from faults.proxies import Proxy
 from faults.records import RequestRecord
 from faults.servers import Behaviour, Server
@@ -31,6 +33,8 @@
     Call.SHORT: (1, 7, 50),
 }
 KEYS = 3
+RATES, FLEET_RATES = (5.0, 40.0), (1.0, 6.0)  # requests a second of one client
+FLEET_PROXIES, FLEET_SERVERS = (10, 40), (6, 16)
 STARTING_S = 0.3  # before which a signal may find no handler
 KEY_GAP_S, KEY_GAP_NEW_S = 0.06, 0.25  # between requests of one key; after one on a new connection
 GARBAGE = (b"\xff" * 40, b"\0\0\0\x01x", b"GET / HTTP/1.1\r\n\r\n")
@@ -39,15 +43,21 @@
 class Scenario:
     """One run: a lab, clients that send all the time, and disturbances one after another."""
 
-    def __init__(self, seed: int, folder: Path, library: Path | None, seconds: float) -> None:
-        self.seed, self.seconds = seed, seconds
+    def __init__(
+        self, seed: int, folder: Path, library: Path | None, seconds: float, fleet: bool = False
+    ) -> None:
+        """`fleet`: 10 to 40 proxies instead of 1 to 6, each with one client that sends less."""
+        self.seed, self.seconds, self.fleet = seed, seconds, fleet
         self.rng = random.Random(seed)
         proxies, servers = self.rng.randint(1, 6), self.rng.randint(2, 6)
+        if fleet:
+            proxies, servers = self.rng.randint(*FLEET_PROXIES), self.rng.randint(*FLEET_SERVERS)
         self.settings = draw_settings(self.rng, proxies)
         self.deadline_s = longest_deadline_s(self.settings)
         self.lab = Lab(folder, library, self.settings, seed, servers, proxies)
         self.run = self.lab.run
-        self.rate = self.rng.uniform(5.0, 40.0)  # requests a second of one client
+        self.rate = self.rng.uniform(*(FLEET_RATES if fleet else RATES))
+        self.orders = Orders(self.lab, random.Random(f"orders {seed}"), self._note)
         self.crowd = self.rng.random() < 0.25
         self.ending = False
         self._key_free_at: dict[tuple[str, str], float] = {}
@@ -58,10 +68,12 @@
     def play(self) -> None:
         """Play the run to its end, shutdown of every proxy included."""
         self.lab.start()
+        front = Front(self.run, self.lab.proxies)
+        self.front = front
         clients = [
             gevent.spawn(self._client, proxy, random.Random(self.rng.random()))
             for proxy in self.lab.proxies
-            for _ in range(self.rng.randint(1, 3))
+            for _ in range(1 if self.fleet else self.rng.randint(1, 3))
         ]
         if self.crowd:
             clients += [gevent.spawn(self._idle_client, self.lab.proxies[0]) for _ in range(150)]
@@ -69,10 +81,14 @@
         while time.monotonic() < until:
             gevent.sleep(self.rng.uniform(0.05, 0.6))
             self._disturb()
+            self.orders.give_sometimes()
         self._calm_down()
         gevent.joinall(self._restarts)
+        self.orders.finish_sometimes()
         gevent.joinall([gevent.spawn(self._end, proxy) for proxy in self.lab.proxies])
         self.ending = True
+        front.stop()
+        self.orders.finish()
         gevent.joinall(clients, timeout=5.0)
         gevent.sleep(0.1)
         for call in Call:
@@ -110,7 +126,9 @@
         self.run.note(time.monotonic(), kind, text)
 
     def _servers(self) -> list[Server]:
-        return [server for server in self.lab.servers if not server.draining]
+        """Those that may drain or vanish: none that is out by hand, lest no other is left."""
+        out = self.orders.out_now
+        return [server for server in self.lab.servers if not server.draining and server.name not in out]
 
     def _change_server(self) -> None:
         rng, server = self.rng, self.rng.choice(self.lab.servers)
@@ -238,7 +256,7 @@
     def _idle_client(self, proxy: Proxy) -> None:
         while not self.ending:
             try:
-                connection = self.lab.connect(proxy)
+                connection = self._connect(proxy)
             except OSError:
                 gevent.sleep(0.3)
                 continue
@@ -251,8 +269,10 @@
         open_requests: list[RequestRecord] = []
         while not self.ending:
             if connection is None or connection.ended.is_set():
-                connection = self._connect(proxy, rng)
-                if connection is None:
+                try:
+                    connection = self._connect(proxy)
+                except OSError:
+                    connection = None
                     gevent.sleep(0.05)
                     continue
             record = self._send(connection, proxy, rng)
@@ -261,11 +281,11 @@
             connection = self._behave(connection, open_requests, rng)
             gevent.sleep(rng.expovariate(self.rate))
 
-    def _connect(self, proxy: Proxy, rng: random.Random) -> ClientConnection | None:
-        try:
-            return self.lab.connect(proxy)
-        except OSError:
-            return None
+    def _connect(self, proxy: Proxy) -> ClientConnection:
+        """A new connection; OSError if the front sends none there, or the proxy takes none."""
+        if not self.front.takes(proxy):
+            raise ConnectionRefusedError("the front sends no new connection there")
+        return self.lab.connect(proxy)
 
     def _send(self, connection: ClientConnection, proxy: Proxy, rng: random.Random) -> RequestRecord | None:
         name = rng.choices(("safe", "keyed", "unsafe"), (5, 3, 2))[0]
--- a/faults/soak.py
+++ b/faults/soak.py
@@ -14,9 +14,11 @@
 LIMIT_S = 120.0  # over the disturbed time, for start, end and checking
 
 
-def play_seed(seed: int, folder: Path, library: Path | None, seconds: float) -> SeedReport:
+def play_seed(
+    seed: int, folder: Path, library: Path | None, seconds: float, fleet: bool = False
+) -> SeedReport:
     """Play one run and check it."""
-    scenario = Scenario(seed, folder, library, seconds)
+    scenario = Scenario(seed, folder, library, seconds, fleet)
     error = ""
     try:
         scenario.play()
@@ -30,14 +32,16 @@
     return report
 
 
-def play_apart(seed: int, seconds: float, logs: Path | None) -> SeedReport:
+def play_apart(seed: int, seconds: float, logs: Path | None, fleet: bool = False) -> SeedReport:
     """Play one run in a new process."""
     command = [sys.executable, "-m", "faults", "one", str(seed), "--seconds", str(seconds)]
     if logs is not None:
         command += ["--logs", str(logs)]
+    if fleet:
+        command += ["--fleet"]
     try:
         done = subprocess.run(command, capture_output=True, text=True, timeout=seconds + LIMIT_S)
         (raw,) = json.loads(done.stdout)
         return SeedReport(**raw)
     except (subprocess.TimeoutExpired, ValueError) as e:
-        return SeedReport(seed, 0, 0, {}, 0, {}, {}, [], f"{type(e).__name__}: {e}"[:300])
+        return SeedReport(seed, 0, 0, {}, 0, {}, {}, 0, 0, [], f"{type(e).__name__}: {e}"[:300])
--- a/tests/test_fault_checker.py
+++ b/tests/test_fault_checker.py
@@ -5,7 +5,19 @@
 import pytest
 
 from faults.checker import Checker
-from faults.records import Answer, AttemptEnd, AttemptRecord, Code, ProxyLife, RequestRecord, Run, ServerState
+from faults.records import (
+    Answer,
+    AttemptEnd,
+    AttemptRecord,
+    Code,
+    ConnectionRecord,
+    OrderRecord,
+    ProxyLife,
+    ReadinessRecord,
+    RequestRecord,
+    Run,
+    ServerState,
+)
 from faults.settings import make_settings
 
 SETTINGS = make_settings(deadline_s=3.0, repeat_window_s=1.0, drain_grace_s=1.0, cold_s=4.0, tip_after_s=1.0)
@@ -161,3 +173,120 @@
     run = Run([request(sent=sent, connection_ended_at=23.7)], [attempt(sent + 0.01, 23.7, AttemptEnd.CLOSED)])
     run.lives = [ended]
     assert rules(run) == found
+
+
+def order(
+    path: str = "/drain", at: float = 10.0, status: int | None = 200, took: float = 0.01, subject: str = ""
+) -> OrderRecord:
+    answered_at = None if status is None else at + took
+    return OrderRecord("n0", path, subject, at, True, answered_at, status)
+
+
+def connected(opened: float = 5.0, ended: float | None = None) -> ConnectionRecord:
+    return ConnectionRecord(1, "n0", opened, ended)
+
+
+@pytest.mark.parametrize(
+    ("given", "found"),
+    [
+        (order(), set()),
+        (order(took=1.1), {"order"}),
+        (order(status=None), {"order"}),
+        (order(status=500), {"order"}),
+    ],
+)
+def test_an_order_is_answered_in_time(given, found):
+    assert rules(Run(orders=[given])) == found
+
+
+def test_an_order_that_has_to_be_refused_is():
+    nonsense = order("/databases/disable", subject="nobody")
+    nonsense.expect_yes = False
+    assert rules(Run(orders=[nonsense])) == {"order"}
+    nonsense.status = 404
+    assert rules(Run(orders=[nonsense])) == set()
+
+
+@pytest.mark.parametrize(
+    ("told", "troubles", "found"),
+    [(9.9, [], set()), (9.5, [], {"order"}), (9.5, [4.0], set()), (2.0, [4.0], {"order"})],
+)
+def test_a_database_that_the_proxy_may_not_have_heard_of(told, troubles, found):
+    unheard = order("/databases/disable", subject="s9", status=404)
+    states = [ServerState("s9", "active", told)]
+    assert rules(Run(orders=[unheard], states=states, channel_troubles=troubles)) == found
+
+
+def test_an_order_to_a_process_that_ends_may_go_unanswered():
+    run = Run(orders=[order(status=None)], lives=[life(terminated_at=10.5, ended_at=11.0, code=0)])
+    assert rules(run) == set()
+
+
+@pytest.mark.parametrize("way", ["frame", "console"])
+@pytest.mark.parametrize(
+    ("asked", "ready", "found"),
+    [
+        (9.9, True, set()),
+        (10.1, True, {"lost"}),
+        (10.1, False, set()),
+        (19.98, True, {"lost"}),
+        (19.995, True, set()),  # answered once the order to undrain was on its way
+        (20.5, True, set()),
+    ],
+)
+def test_a_drained_process_says_that_it_is_ready(way, asked, ready, found):
+    answers = [ReadinessRecord("n0", way, asked, asked + 0.01, ready)]
+    assert rules(Run(orders=[order(), order("/undrain", 20.0)], readiness=answers)) == found
+
+
+@pytest.mark.parametrize(("asked", "found"), [(21.9, set()), (22.1, {"undrain"})])
+def test_a_process_that_is_taken_back_says_that_it_is_not_ready(asked, found):
+    answers = [ReadinessRecord("n0", "frame", asked, asked + 0.01, False)]
+    assert rules(Run(orders=[order(), order("/undrain", 20.0)], readiness=answers)) == found
+
+
+@pytest.mark.parametrize(
+    ("held", "asked", "answered", "found"),
+    [
+        (connected(ended=13.9), (), (), set()),
+        (connected(), (), (), {"lost"}),  # idle
+        (connected(), (10.1,), (10.2,), {"lost"}),
+        (connected(), (11.9,), (None,), set()),  # its client only waits
+        (connected(ended=14.5), (12.5,), (14.4,), {"lost"}),
+        (connected(), (11.9, 13.0), (None, 13.1), {"lost"}),  # waits, and goes on sending
+        (connected(opened=13.8, ended=14.1), (), (), set()),
+    ],
+)
+def test_a_drained_process_holds_a_connection(held, asked, answered, found):
+    requests = []
+    for n, (at, end) in enumerate(zip(asked, answered, strict=True)):
+        record = RequestRecord(f"r{n}", "n0", 1, "safe", at, 30.0)
+        if end is not None:
+            record.answers = [Answer(end, Code.REFUSED)]
+        else:
+            record.cancelled_at = 15.0
+        requests.append(record)
+    ends = [life(terminated_at=14.8, ended_at=15.0, code=0)]
+    assert rules(Run(requests, orders=[order()], connections=[held], lives=ends)) == found
+
+
+@pytest.mark.parametrize(
+    ("sent", "found"), [(10.05, set()), (10.2, {"drain"}), (14.9, {"drain"}), (15.1, set())]
+)
+def test_a_request_to_a_database_out_by_hand(sent, found):
+    orders = [order("/databases/disable", subject="s0"), order("/databases/enable", 15.0, subject="s0")]
+    run = Run([request(sent=sent, answers=[served(sent + 0.5)])], [attempt(sent, sent + 0.4)], orders=orders)
+    assert rules(run) == found
+
+
+def test_a_second_call_does_not_shorten_the_first():
+    orders = [order("/databases/disable", subject="s0"), order("/databases/disable", 12.0, subject="s0")]
+    run = Run([request(sent=11.0, answers=[served(11.5)])], [attempt(11.0, 11.4)], orders=orders)
+    assert rules(run) == {"drain"}
+
+
+@pytest.mark.parametrize(
+    "line", ["topic=violation event=x", 'hollowhitch_violations_total{rule="open_at_exit"} 1']
+)
+def test_a_violation_that_the_process_found_itself(line):
+    assert rules(Run(lives=[life(stderr=f"a line\n{line}\n")])) == {"violation"}
--- a/tests/test_fault_operators.py
+++ b/tests/test_fault_operators.py
@@ -2,17 +2,24 @@
 
 from __future__ import annotations
 
+import contextlib
+import errno
+import signal
 import time
 from collections.abc import Callable
 
 import gevent
 import pytest
+from gevent import socket
 
-from faults.clients import ClientConnection, new_ref
+from faults.clients import ClientConnection, new_ref, new_replay
 from faults.lab import Lab, wait_for
 from faults.operators import Operator
 from faults.proxies import Proxy
+from faults.records import Code
 from faults.servers import Behaviour
+from faults.settings import grace_s
+from faults.shim import Call
 from tests.lab import answered, broken
 
 CLEARED_S = 4.0  # the page's time for a drained process to hold no idle or busy connection
@@ -106,6 +113,174 @@
     assert broken(lab) == []
 
 
+def hold_half_a_call(proxy: Proxy) -> None:
+    with contextlib.suppress(OSError), socket.create_connection(proxy.console, 1.0) as sock:
+        sock.sendall(b"POST /undrain HTTP/1.1\r\nContent-Le")
+        while sock.recv(4096):
+            pass
+
+
+def test_orders_are_answered_beside_held_calls_failing_calls_and_a_crowd_of_clients(make_lab):
+    lab = make_lab()
+    proxy, operator = lab.proxies[0], Operator(lab.run)
+    lab.configure_all(limits={"cores": 1.0, "memory_mb": 192, "sockets": 128})
+    proxy.signal(signal.SIGKILL)
+    assert proxy.wait_ended(2.0)
+    proxy.start()
+    proxy.wait_ready()
+    holders = [gevent.spawn(hold_half_a_call, proxy) for _ in range(64)]
+    crowd = [lab.connect(proxy) for _ in range(120)]
+    gevent.sleep(0.2)
+    for call, number in (
+        (Call.ACCEPT, errno.EMFILE),
+        (Call.ACCEPT, errno.ECONNABORTED),
+        (Call.WAIT, errno.EINTR),
+    ):
+        proxy.control.fail(call, number, 20)
+        for order in (operator.drain, operator.undrain, operator.drain):
+            assert order(proxy).accepted
+    gevent.sleep(CLEARED_S + 0.3)
+    assert all(client.ended.is_set() for client in crowd)
+    gevent.joinall(holders, timeout=3.0)
+    assert all(holder.dead for holder in holders)
+    assert broken(lab) == []
+
+
+@pytest.mark.parametrize("series", ["du", "dud", "dudd"])
+def test_the_last_of_a_series_of_orders_counts(make_lab, series):
+    lab = make_lab()
+    proxy, operator = lab.proxies[0], Operator(lab.run)
+    client = lab.connect(proxy)
+    send(lab, client)
+    for order in series:
+        (operator.drain if order == "d" else operator.undrain)(proxy)
+    assert operator.ask_ready(proxy) is series.endswith("u")
+    gevent.sleep(CLEARED_S + 0.3)
+    assert client.ended.is_set() is series.endswith("d")
+    assert broken(lab) == []
+
+
+@pytest.mark.parametrize("undrained_s", [0.6, 2.5, 3.25])
+def test_an_undrain_amid_the_closes_leaves_nothing_of_the_drain(make_lab, undrained_s):
+    lab = make_lab(deadline_s=20.0)
+    proxy, operator = lab.proxies[0], Operator(lab.run)
+    clients = [gevent.spawn(never_pause, lab, proxy) for _ in range(5)]
+    gevent.sleep(0.3)
+    drained = operator.drain(proxy)
+    gevent.sleep(max(0.0, drained.sent_at + undrained_s - time.monotonic()))
+    operator.undrain(proxy)
+    undrained_at = time.monotonic()
+    assert operator.ask_ready(proxy) and proxy.says_ready()
+    fresh = lab.connect(proxy)
+    while time.monotonic() < undrained_at + CLEARED_S:
+        send(lab, fresh)
+        gevent.sleep(0.1)
+    assert not fresh.ended.is_set()
+    gevent.killall(clients)
+    assert wait_for(lambda: all(r.answers or r.connection_ended_at for r in lab.run.requests))
+    late = [r for r in lab.run.requests if r.sent_at > undrained_at]
+    assert late and all(r.answers[0].code is Code.SERVED for r in late if r.answers)
+    assert broken(lab) == []
+
+
+@pytest.mark.parametrize("stopped_s", [0.1, 1.0, 3.9])
+def test_a_signal_amid_a_drain_ends_the_process_within_its_grace(make_lab, stopped_s):
+    lab = make_lab(deadline_s=3.0)
+    proxy, operator = lab.proxies[0], Operator(lab.run)
+    gevent.spawn(never_pause, lab, proxy)
+    gevent.sleep(0.3)
+    operator.drain(proxy)
+    gevent.sleep(stopped_s)
+    proxy.signal(signal.SIGHUP)
+    proxy.signal(signal.SIGTERM)
+    assert not operator.undrain(proxy).accepted
+    lab.run.orders[-1].expect_yes = False
+    assert operator.drain(proxy).accepted
+    assert operator.ask_ready(proxy) is False
+    assert proxy.wait_ended(grace_s(lab.settings))
+    assert broken(lab) == []
+
+
+@pytest.mark.parametrize("reload", ["{", "another console"])
+def test_a_reload_amid_a_drain_undoes_nothing(make_lab, reload):
+    lab = make_lab()
+    proxy, operator = lab.proxies[0], Operator(lab.run)
+    rest(lab, proxy)
+    operator.drain(proxy)
+    whole = proxy.config_path.read_text()
+    proxy.config_path.write_text(reload if reload == "{" else whole.replace(f":{proxy.console[1]}", ":1"))
+    proxy.signal(signal.SIGHUP)
+    gevent.sleep(CLEARED_S + 0.3)
+    assert operator.ask_ready(proxy) is False
+    assert operator.undrain(proxy).accepted and operator.ask_ready(proxy)
+    assert broken(lab) == []
+
+
+def test_a_client_that_reads_nothing_is_not_held_past_its_time(make_lab):
+    lab = make_lab()
+    proxy, operator = lab.proxies[0], Operator(lab.run)
+    for server in lab.servers:
+        server.behaviour = Behaviour(pages=8, page_bytes=6000)
+    mute = lab.connect(proxy, receive_buffer=4096)
+    mute.stop_reading()
+    for _ in range(30):
+        send(lab, mute)
+    gevent.sleep(0.3)
+    operator.drain(proxy)
+    gevent.sleep(CLEARED_S)
+    mute.reading = True
+    assert wait_for(mute.ended.is_set, 1.0)
+    assert [b for b in broken(lab) if "order" in b or "violation" in b] == []
+
+
+@pytest.mark.parametrize("name", ["keyed", "unsafe"])
+def test_a_drain_repeats_nothing_that_may_have_run(make_lab, name):
+    lab = make_lab(deadline_s=20.0, repeat_window_s=0.3)
+    proxy, operator = lab.proxies[0], Operator(lab.run)
+    for server in lab.servers:
+        server.behaviour = HANG
+    client = lab.connect(proxy)
+    client.request(new_ref(lab.rng), name, 20.0, replay=new_replay(lab.rng) if name == "keyed" else None)
+    assert wait_for(lambda: lab.run.attempts)
+    operator.drain(proxy)
+    while not client.ended.is_set():
+        send(lab, client)
+        gevent.sleep(0.2)
+    assert sum(a.class_name == name for a in lab.run.attempts) == 1
+    assert broken(lab) == []
+
+
+def test_a_client_that_only_waits_keeps_its_connection_until_its_answer(make_lab):
+    lab = make_lab(deadline_s=20.0)
+    proxy, operator = lab.proxies[0], Operator(lab.run)
+    for server in lab.servers:
+        server.behaviour = Behaviour(work_s=6.0)
+    client = lab.connect(proxy)
+    for _ in range(10):
+        send(lab, client, 20.0)
+    operator.drain(proxy)
+    gevent.sleep(CLEARED_S + 0.5)
+    assert not client.ended.is_set()
+    for server in lab.servers:
+        server.reset_all()
+        server.behaviour = Behaviour()
+    assert wait_for(client.ended.is_set, 20.0)
+    assert broken(lab) == []
+
+
+@pytest.mark.parametrize("gap_s", [0.0, 0.4])
+def test_all_processes_drained_at_once_or_in_turn_lose_nothing(make_lab, gap_s):
+    lab = make_lab(proxies=4)
+    clients = [gevent.spawn(never_pause, lab, proxy) for proxy in lab.proxies]
+    gevent.sleep(0.3)
+    for proxy in lab.proxies:
+        Operator(lab.run).drain(proxy)
+        gevent.sleep(gap_s)
+    gevent.sleep(CLEARED_S + 0.3)
+    assert all(client.dead for client in clients)
+    assert broken(lab) == []
+
+
 def test_a_database_out_by_hand_is_sent_nothing_until_it_is_called_back(make_lab):
     lab = make_lab(servers=2)
     proxy, operator, out = lab.proxies[0], Operator(lab.run), lab.servers[0]
--- /dev/null
+++ b/tests/test_inputs.py
@@ -0,0 +1,39 @@
+"""Orders and facts from outside that no other test covers: each is heard, and carried out."""
+
+from __future__ import annotations
+
+import os
+import signal
+
+from gevent import socket
+
+from faults.lab import wait_for
+from faults.operators import call
+from faults.proxies import READY_WITHIN_S
+
+
+def test_a_signal_has_the_metrics_written(make_lab):
+    lab = make_lab()
+    lab.proxies[0].signal(signal.SIGUSR1)
+    assert wait_for(lambda: "hollowhitch_requests_total" in lab.proxies[0].log_path.read_text())
+
+
+def test_the_console_tells_the_figures(make_lab):
+    lab = make_lab()
+    status, _ = call(lab.proxies[0].console, b"GET /metrics HTTP/1.1\r\nHost: console\r\n\r\n")
+    assert status == 200
+
+
+def test_a_process_takes_over_the_listening_socket_that_it_is_handed(make_lab):
+    lab = make_lab()
+    proxy = lab.proxies[0]
+    proxy.signal(signal.SIGKILL)
+    assert proxy.wait_ended(2.0)
+    with socket.socket() as listening:
+        listening.setsockopt(socket.SOL_SOCKET, socket.SO_REUSEADDR, 1)
+        listening.bind(proxy.address)
+        listening.listen()
+        os.set_inheritable(listening.fileno(), True)
+        proxy.start(pass_fds=(listening.fileno(),), ROUTER_FD=str(listening.fileno()))
+        assert wait_for(lambda: proxy.says_ready() or not proxy.alive, READY_WITHIN_S)
+    assert proxy.alive
