--- a/faults/proxies.py
+++ b/faults/proxies.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import itertools
 import json
 import os
 import signal
@@ -21,7 +22,8 @@
 ROOT = Path(__file__).resolve().parent.parent
 READY_WITHIN_S = 20.0
 POLL_S = 0.02
-FIRST_NET, NETS = 16, 200  # proxies listen in 127.16.0.0 and up, a host for each process that runs a lab
+FIRST_NET, NETS, HOSTS = 16, 200, 254  # 127.16.0.0 and up: a net for each process with a lab
+_hosts = itertools.count()
 
 
 class ProxyNotReady(RuntimeError):
@@ -131,8 +133,9 @@
 
 
 def _free_address() -> tuple[str, int]:
-    """An address that stays free until it is used: no other run and no outgoing connection has its host."""
-    host = f"127.{FIRST_NET + os.getpid() % NETS}.{os.getpid() // NETS % 256}.1"
+    """An address that stays free until it is used: nothing else listens at its host, or calls from there."""
+    number = next(_hosts) % HOSTS + 1
+    host = f"127.{FIRST_NET + os.getpid() % NETS}.{os.getpid() // NETS % 256}.{number}"
     with socket.socket() as sock:
         sock.bind((host, 0))
         return sock.getsockname()
