Split the decision module by job, name its constants one a line, format the whole tree

Need: control.py and state.py held every decision and all books; constants stood several a line behind terse names.

Decisions are the same.

--- a/hollowhitch/__main__.py
+++ b/hollowhitch/__main__.py
@@ -32,9 +32,9 @@
 from hollowhitch.net.front import Front
 from hollowhitch.net.heartbeat import Heartbeat
 from hollowhitch.net.timers import Timers
-from hollowhitch.policy.control import tolerated_doubt_us
 from hollowhitch.policy.interface import ListKind
 from hollowhitch.policy.membership import Listing, Membership
+from hollowhitch.policy.slow_start import tolerated_doubt_us
 from hollowhitch.policy.start_times import StartTimes
 from hollowhitch.protocol.channel import Command
 from hollowhitch.shutdown import plan_shutdown
--- /dev/null
+++ b/hollowhitch/policy/admission.py
@@ -0,0 +1,68 @@
+"""Admission by slots and memory: CASA's charge against an engine's limit, and the limit over all engines."""
+
+from __future__ import annotations
+
+import math
+
+from hollowhitch.policy.constants import (
+    BUSY_SHARE_UNCONTENDED,
+    LIGHT_LIMIT_TIMES,
+    LIMIT_DEVIATIONS,
+    MEMORY_SHARE_MAX,
+    PRESSED_SHARE,
+    PRESSED_STRETCH_LOG,
+    THREADS_PER_CORE,
+    UNHEARD_MEMORY_SHARE,
+)
+from hollowhitch.policy.records import EngineTable, Query
+from hollowhitch.policy.reports import Reports
+
+
+class Admission(Reports):
+    """Says whether an engine, and all together, have a place for a query."""
+
+    def _charge(self, q: Query, limit: float, big: float) -> float:
+        """CASA's charge in slots: alpha x half the sum of cost and memory bound over their tops, + 1."""
+        both = zip(q.bins, (self.costs.bounds, self.memories.bounds), strict=True)
+        return (limit / big - 1) * sum(b[k - 1] / b[2] for k, b in both if k and b[2] > 0) / 2 + 1
+
+    def _pool_charge(self, q: Query) -> tuple[float, float]:
+        """Departure: a limit, in threads, of our own over all engines, where our part of one is too small."""
+        calm = min(1.0, THREADS_PER_CORE / math.exp(max(self.stretch, 0.0)))
+        # No more than our share of what the engines do: with more offered, by retries too, they do no more.
+        share = min(self.offered_share, max(self.share, self.even))
+        mean = THREADS_PER_CORE * self.able * share * calm * calm
+        # Not all deviations: under pressure all gateways have clumps at once.
+        limit = max(1.0, mean + LIMIT_DEVIATIONS * math.sqrt(mean))
+        return limit, self._charge(q, limit, max(1.0, self.steep * limit)) + q.cls.threads - 1
+
+    def _pool_fits(self, q: Query) -> bool:
+        crowded = self.busy >= BUSY_SHARE_UNCONTENDED / 2  # an average that hides some engines twice as busy
+        signs = (self.tense >= PRESSED_SHARE) + (self.stretch >= PRESSED_STRETCH_LOG) + crowded
+        # Reports not asked for come too late: one sign will do. One query may always be out.
+        if not self.whole or not self.slots or signs < (2 if self.s.limits.probes else 1):
+            return True
+        limit, charge = self._pool_charge(q)
+        return self.slots + charge <= limit * (1.0 if q.bins[0] else LIGHT_LIMIT_TIMES)
+
+    def _admits(self, e: EngineTable, q: Query) -> bool:
+        """The slot limit binds only under pressure; over-share work is then the first to go."""
+        charge, r = self._charge(q, e.limit, e.big), self._report(e)
+        if self._pressure(e, charge) and (q.over or self._used(e) + charge > e.limit + 1e-9):
+            return False
+        if e.whole:
+            return self._memory_fits(e, q)
+        if r is None or r.memory is None or not e.memory or q.grant <= 0 or not e.out:
+            return True
+        # Departure: memory is always a limit. A report is late: grants since, less ends, are taken as alike.
+        return r.memory * e.memory + e.newly_granted / self.even + q.grant <= MEMORY_SHARE_MAX * e.memory
+
+    def _memory_fits(self, e: EngineTable, q: Query) -> bool:
+        """Departure: hardly any of many gateways has work at an engine. Its report binds even so. One that is
+        not heard may page, and answer nobody for that: only what hardly matters goes there, to hear of it."""
+        if not e.memory or q.grant <= 0 or len(self.queries) == self.held.count:  # one may always be out
+            return True
+        r = self._report(e)
+        granted = r.memory or 0.0 if r else 0.0 if self.cold(e) else self.granted
+        room = (MEMORY_SHARE_MAX - granted) * e.memory - e.newly_granted
+        return q.grant <= room if r else not q.bins[1] or q.grant <= UNHEARD_MEMORY_SHARE * room
--- /dev/null
+++ b/hollowhitch/policy/feedback.py
@@ -0,0 +1,78 @@
+"""CASA's feedback: each round's error moves how heavily large queries weigh."""
+
+from __future__ import annotations
+
+import math
+
+from hollowhitch.policy.constants import (
+    ANSWERED_SHARE_STEP,
+    BUSY_SHARE_AT_CAPACITY,
+    CORRECTION_STEP,
+    ERROR_SMOOTHING,
+    FEEDBACK_GAIN,
+    MEMORY_SHARE_SOFT,
+    OFFERED_SHARE_STEP,
+    QUOTA_TIMES,
+    SERVICE_RATE_SHARE_MIN,
+    SERVICE_RATE_STEP,
+    SWEEP_US,
+    THREADS_PER_CORE,
+)
+from hollowhitch.policy.records import EngineTable
+from hollowhitch.policy.retries import Retries
+
+
+class Feedback(Retries):
+    """Runs the rounds of the feedback."""
+
+    def _sweep(self, _: None) -> None:
+        self.agenda.add(self.now + SWEEP_US, self._sweep, None)  # first: a fault below ends no sweeps
+        self._estimate_share()
+        for e in list(self.awake.values()):
+            self._feedback(e)
+            self._check_silence(e)
+            if self.whole and not e.out and self._report(e) is None:
+                del self.awake[e.info.id]
+        self.pump()
+
+    def _estimate_share(self) -> None:
+        """Our answered work over the busy cores reported: what an overfilled engine wastes lowers limits."""
+        reports = [(e, r) for e in self.awake.values() if (r := self._report(e)) is not None]
+        busy, heard = sum((r.util or 0.0) * e.cores for e, r in reports), sum(e.cores for e, _ in reports)
+        served = self.served / SWEEP_US
+        offered = self.offered / (SWEEP_US * BUSY_SHARE_AT_CAPACITY * self.cores)
+        if busy > 0:
+            self.share += ANSWERED_SHARE_STEP * (min(served * heard / (busy * self.cores), 1.0) - self.share)
+        least = (1.0 if self.whole else SERVICE_RATE_SHARE_MIN) * 1e6 * self.even * self.cores
+        self.drain = max(self.drain + SERVICE_RATE_STEP * (served * 1e6 - self.drain), least, 1.0)
+        self.offered_share += OFFERED_SHARE_STEP * (min(offered, 1.0) - self.offered_share)
+        self.served = self.offered = 0.0
+        share = max(self.share, self.even, self.offered_share if self.whole else 0.0)
+        for bucket in self.quotas.values():
+            bucket.part = min(1.0, QUOTA_TIMES * share)  # swamped, we carry more of each quota too
+        self._take_turns()
+        self.rates.smooth(ERROR_SMOOTHING, SWEEP_US)
+        for e in () if self.whole else self.engines.values():
+            scale = max(1.0, THREADS_PER_CORE * e.cores * share) / e.limit
+            e.limit, e.big = e.limit * scale, e.big * scale
+
+    def _feedback(self, e: EngineTable) -> None:
+        e.smooth(ERROR_SMOOTHING, SWEEP_US)
+        r, e.swept = self._report(e), self.now
+        seen = 2 * r.util / BUSY_SHARE_AT_CAPACITY if r and r.util is not None else 0.0
+        tasks = max(seen, math.exp(e.stretch)) if not seen or self._pressure(e) else seen
+        waiting = (r.waiting or 0) * self.even / max(len(e.out), 1) if r else 0.0  # a running query
+        e.error += ERROR_SMOOTHING * (tasks - 2 + _memory_error(min(waiting, 1.0)) - e.error)
+        # In whole slots few queries meet one engine: the rates are pooled, and scaled to all gateways.
+        rates, scale = (self.rates, 1 / (self.even * len(self.engines))) if e.whole else (e, 1.0)
+        hold, send = rates.hold_rate * scale, rates.send_rate * scale
+        e.big = min(max(e.big - e.error * hold / (hold + send + 1) * FEEDBACK_GAIN, 1.0), e.limit)
+        self.steep += CORRECTION_STEP * (e.big / e.limit - self.steep)
+
+
+def _memory_error(memory: float) -> float:
+    """The paper's ramp: 0 to 2 from a quarter of the soft limit to it, then to 4 at capacity."""
+    low = max(0.0, memory / MEMORY_SHARE_SOFT - 0.25) / 0.75 * 2
+    return (
+        low if memory <= MEMORY_SHARE_SOFT else 2 + 2 * (memory - MEMORY_SHARE_SOFT) / (1 - MEMORY_SHARE_SOFT)
+    )
--- a/hollowhitch/policy/interface.py
+++ b/hollowhitch/policy/interface.py
@@ -312,8 +312,17 @@
 
 
 Event = (
-    EngineList | QueryArrived | StreamBegan | Note | AttemptEnded | ClientLeft | Closing | GiveUp
-    | TimerFired | ProbeEnded | MessageReceived
+    EngineList
+    | QueryArrived
+    | StreamBegan
+    | Note
+    | AttemptEnded
+    | ClientLeft
+    | Closing
+    | GiveUp
+    | TimerFired
+    | ProbeEnded
+    | MessageReceived
 )
 
 # Actions out
@@ -407,6 +416,16 @@
 
 
 Action = (
-    Send | SetTerms | Refuse | Fail | CancelAttempt | SetTimer | Probe | SendMessage | Log | HealthChanged
-    | Subscribe | FetchList
+    Send
+    | SetTerms
+    | Refuse
+    | Fail
+    | CancelAttempt
+    | SetTimer
+    | Probe
+    | SendMessage
+    | Log
+    | HealthChanged
+    | Subscribe
+    | FetchList
 )
--- /dev/null
+++ b/hollowhitch/policy/queues.py
@@ -0,0 +1,101 @@
+"""Queries that wait: held ones by worth and age, and those of one key in their order."""
+
+from __future__ import annotations
+
+import heapq
+from collections import deque
+from collections.abc import Callable
+from typing import Any
+
+from hollowhitch.policy.records import Query
+
+SPARE_ENTRIES_MAX = 256  # of held queries that have left, before the rest are sorted out
+
+
+class HeldQueries:
+    """Held queries in one line for each group of alike ones, so that only the heads need a look."""
+
+    def __init__(self) -> None:
+        self.lines: dict[Any, deque[Query]] = {}
+        self.ranked: list[tuple[float, int, Query]] = []
+        self.work, self.count, self.serial = 0.0, 0, 0
+
+    def add(self, group: Any, q: Query, worth: float, in_line: bool) -> None:
+        """Count q as held; it joins its group's line unless it still waits for its key's turn."""
+        q.held = True
+        self.work += q.work
+        self.count += 1
+        self.serial += 1
+        heapq.heappush(self.ranked, (worth, self.serial, q))
+        if in_line:
+            self.lines.setdefault(group, deque()).append(q)
+
+    def leave(self, q: Query) -> None:
+        if q.held:
+            q.held = False
+            self.work -= q.work
+            self.count -= 1
+            if len(self.ranked) > 2 * self.count + SPARE_ENTRIES_MAX:  # what has left must not stay in memory
+                self.ranked = [entry for entry in self.ranked if entry[2].held]
+                heapq.heapify(self.ranked)
+
+    def least_worth(self, wanted: Callable[[Query], bool]) -> Query | None:
+        """Take out the held query of least worth for its work that `wanted` accepts."""
+        while self.ranked:
+            q = heapq.heappop(self.ranked)[2]
+            if q.held and not q.done and wanted(q):
+                return q
+        return None
+
+    def head(self, group: Any) -> Query | None:
+        line = self.lines.get(group)
+        while line and (line[0].done or not line[0].held):
+            line.popleft()
+        if not line:
+            self.lines.pop(group, None)
+            return None
+        return line[0]
+
+    def oldest_first(self, send: Callable[[Query], bool]) -> None:
+        """Offer heads to `send`, oldest first; a group whose head does not leave is passed over."""
+        heads = [(q.taken, n, g) for n, g in enumerate(list(self.lines)) if (q := self.head(g))]
+        heapq.heapify(heads)
+        while heads:
+            _, n, group = heads[0]
+            head = self.head(group)
+            if head is not None and send(head):
+                self.leave(head)
+                head = self.head(group)
+                if head is not None:
+                    heapq.heapreplace(heads, (head.taken, n, group))
+                    continue
+            heapq.heappop(heads)
+
+
+class KeyLines:
+    """For each order key its queries in the order taken; one stays until its last attempt has ended."""
+
+    def __init__(self) -> None:
+        self.lines: dict[int, deque[Query]] = {}
+        self.rested: dict[int, int] = {}
+
+    def add(self, q: Query) -> None:
+        if q.key is not None:
+            self.lines.setdefault(q.key, deque()).append(q)
+
+    def first(self, key: int) -> Query | None:
+        line = self.lines.get(key)
+        return line[0] if line else None
+
+    def turn(self, q: Query, now: int) -> bool:
+        """Is q first of its key, and the key rested (which the one that has the turn need not wait for)?"""
+        if q.key is None:
+            return True
+        return self.first(q.key) is q and (bool(q.attempts) or now >= self.rested.get(q.key, 0))
+
+    def remove(self, q: Query) -> None:
+        line = self.lines.get(q.key) if q.key is not None else None
+        if line and q in line:
+            line.remove(q)
+            if not line:
+                del self.lines[q.key]
--- /dev/null
+++ b/hollowhitch/policy/slow_start.py
@@ -0,0 +1,50 @@
+"""The budget of engines that have just started."""
+
+from __future__ import annotations
+
+from hollowhitch.policy import interface as api
+from hollowhitch.policy.constants import (
+    AGE_DOUBT_SHARE_MAX,
+    BUSY_SHARE_AT_CAPACITY,
+    COLD_BUDGET_SHARE,
+    COLD_TURNS,
+)
+from hollowhitch.policy.ledger import Ledger
+from hollowhitch.policy.records import EngineTable, Query
+
+
+class SlowStart(Ledger):
+    """Keeps to the budget of cold engines."""
+
+    def _cold_fits(self, e: EngineTable, q: Query) -> bool:
+        """Rule 4: a just started engine gets our part of the told budget in any window, on the safe side."""
+        if not self.cold(e):
+            return True
+        part = self._cold_budget(e) * (1 / COLD_TURNS if e.whole else self.even)
+        window_us = self.s.rules.tip_after_us
+        given, turn = e.given.since(self.now - window_us), self._turn(e) if e.whole else 1.0
+        return turn <= 1 and given + q.weight * (1 if given else max(turn, 0.5)) <= part
+
+    def _cold_budget(self, e: EngineTable) -> float:
+        """Work, in core microseconds, that all gateways may send a cold engine in one window."""
+        r = self.s.rules
+        age = self.now - max(e.info.latest_start_us, e.info.started_us)
+        # How it warms up is not told: half of a straight way is taken.
+        able = r.start_capacity + (1 - r.start_capacity) / 2 * min(age / r.cold_us, 1.0)
+        return COLD_BUDGET_SHARE * r.tip_multiple * able * e.cores * BUSY_SHARE_AT_CAPACITY * r.tip_after_us
+
+    def _turn(self, e: EngineTable) -> float:
+        """Departure: where an even part is less than a query, a few have turns, as long as a window and drawn
+        alike by all. What is more than a turn's part, twice at most, takes luck in that draw."""
+        n = int((self.now - e.info.started_us) * COLD_TURNS / max(self.s.rules.tip_after_us, 1))
+        return e.turn(range(n - COLD_TURNS, n), self.gateways, self.s.gateway)
+
+    def _take_turns(self) -> None:
+        self.part_cold()
+        self.ours = [e for e in self.fresh if e.whole and self._turn(e) <= 1]
+
+
+def tolerated_doubt_us(rules: api.Rules) -> float:
+    """By how much a cold engine may pass for older than it is: the budget's safety factor covers that."""
+    covered = (1 / COLD_BUDGET_SHARE - 1) * rules.start_capacity * 2 / max(1 - rules.start_capacity, 1e-9)
+    return rules.cold_us * min(covered, AGE_DOUBT_SHARE_MAX)
--- a/tests/boot.py
+++ b/tests/boot.py
@@ -5,22 +5,42 @@
 from typing import Any
 
 BOOT: dict[str, Any] = {
-    "replicasOfMe": 2, "position": 0, "areas": ["z"], "myZone": "z", "kinds": ["k"], "unheardOf": 1,
+    "replicasOfMe": 2,
+    "position": 0,
+    "areas": ["z"],
+    "myZone": "z",
+    "kinds": ["k"],
+    "unheardOf": 1,
     "classes": [
         {"name": "q", "goalTimeUs": 1000000, "deadlineUs": 6000000, "semantics": "retryable"},
-        {"name": "load", "goalTimeUs": 1000000, "deadlineUs": 6000000, "semantics": "dedup",
-         "repeatWindowUs": 5000000, "sequential": True},
+        {
+            "name": "load",
+            "goalTimeUs": 1000000,
+            "deadlineUs": 6000000,
+            "semantics": "dedup",
+            "repeatWindowUs": 5000000,
+            "sequential": True,
+        },
     ],
     "bounds": {"maxAttempts": 4, "cancel": True, "retryAfter": True, "maxRetryAfterUs": 500000},
     "rules": {"drainGraceUs": 1000000},
-    "extra": {"kindCores": [8], "sizeMb": [16384], "parallelism": [1, 2]}, "granularityUs": 5000,
+    "extra": {"kindCores": [8], "sizeMb": [16384], "parallelism": [1, 2]},
+    "granularityUs": 5000,
     "loadInfo": {"fields": ["cpu", "novel"], "how": "answers"},
 }
 
 
 def member(name: str, port: int, phase: str = "active", started_ms: int = 0) -> dict[str, Any]:
-    return {"id": name, "host_port": f"127.0.0.1:{port}", "locality": "z", "flavor": "k", "cell": 0,
-            "phase": phase, "size": 1, "up_since_ms": started_ms}
+    return {
+        "id": name,
+        "host_port": f"127.0.0.1:{port}",
+        "locality": "z",
+        "flavor": "k",
+        "cell": 0,
+        "phase": phase,
+        "size": 1,
+        "up_since_ms": started_ms,
+    }
 
 
 def command(cursor: int, *members: dict[str, Any], complete: bool = False) -> dict[str, Any]:
@@ -29,5 +49,12 @@
 
 def config(*members: dict[str, Any], **changes: Any) -> dict[str, Any]:
     known = {"cursor": 1, "cmds": [command(1, *members, complete=True)]}
-    return {"name": "n", "listen": "127.0.0.1:0", "seed": "8c1f30d27a5be964", "known": known,
-            "settings": BOOT, "limits": {"cores": 1.0, "memory_mb": 192, "sockets": 1024}, **changes}
+    return {
+        "name": "n",
+        "listen": "127.0.0.1:0",
+        "seed": "8c1f30d27a5be964",
+        "known": known,
+        "settings": BOOT,
+        "limits": {"cores": 1.0, "memory_mb": 192, "sockets": 1024},
+        **changes,
+    }
--- a/tests/test_adapter.py
+++ b/tests/test_adapter.py
@@ -10,18 +10,28 @@
 from hollowhitch import adapter
 
 BOOT = {
-    "replicasOfMe": 2, "position": 0, "areas": ["z"], "myZone": "z", "kinds": ["k"], "unheardOf": 1,
+    "replicasOfMe": 2,
+    "position": 0,
+    "areas": ["z"],
+    "myZone": "z",
+    "kinds": ["k"],
+    "unheardOf": 1,
     "classes": [{"name": "q", "goalTimeUs": 1000000, "deadlineUs": 6000000, "semantics": "retryable"}],
-    "bounds": {"maxAttempts": 4, "cancel": True}, "rules": {"drainGraceUs": 1000000},
-    "extra": {"kindCores": [8], "sizeMb": [16384], "parallelism": [1]}, "granularityUs": 5000,
+    "bounds": {"maxAttempts": 4, "cancel": True},
+    "rules": {"drainGraceUs": 1000000},
+    "extra": {"kindCores": [8], "sizeMb": [16384], "parallelism": [1]},
+    "granularityUs": 5000,
     "loadInfo": {"fields": ["cpu", "novel"], "how": "answers"},
 }
 
 
 def opening(instance: int, seed: int = 1, **changes) -> list[str]:
     return [
-        f"at {instance}", f"open_instance {seed} {json.dumps({**BOOT, **changes})}",
-        "manifest 0 2", "item 10.0.0.1:80 z k 0 IN 1 -", "item 10.0.0.2:80 z k 0 IN 1.5 -",
+        f"at {instance}",
+        f"open_instance {seed} {json.dumps({**BOOT, **changes})}",
+        "manifest 0 2",
+        "item 10.0.0.1:80 z k 0 IN 1 -",
+        "item 10.0.0.2:80 z k 0 IN 1.5 -",
         "discovery SAVED 1 0",
     ]
 
@@ -59,9 +69,15 @@
 @pytest.mark.parametrize(
     "line,what",
     [
-        ("nonsense 1", "unknown message"), ("demand a q", "parts"), ("tick_due x", "invalid literal"),
-        ("discovery SAVED 1 9", "manifest 9"), ("manifest 0 1", "item"), ("hint_update a 9 0 1 e", "sort"),
-        ("open_instance 1 {", "JSON"), ("open_instance 1 {}", "bounds"), ("memo 1 zz", "hex"),
+        ("nonsense 1", "unknown message"),
+        ("demand a q", "parts"),
+        ("tick_due x", "invalid literal"),
+        ("discovery SAVED 1 9", "manifest 9"),
+        ("manifest 0 1", "item"),
+        ("hint_update a 9 0 1 e", "sort"),
+        ("open_instance 1 {", "JSON"),
+        ("open_instance 1 {}", "bounds"),
+        ("memo 1 zz", "hex"),
         ("demand a ghost - - 5 5 5 5 1", None),
     ],
 )
@@ -114,8 +130,10 @@
 
 def test_down_forgets_and_a_new_life_may_start_in_the_same_batch():
     code, out, _ = play(
-        batch(1, 1000, *opening(0)), batch(2, 2000, "at 0", "demand a q - - 900000 9000 9 4 1"),
-        batch(3, 3000, "at 0", "down", *opening(0)), batch(4, 4000, "at 0", "tick_due 1"),
+        batch(1, 1000, *opening(0)),
+        batch(2, 2000, "at 0", "demand a q - - 900000 9000 9 4 1"),
+        batch(3, 3000, "at 0", "down", *opening(0)),
+        batch(4, 4000, "at 0", "tick_due 1"),
     )
     assert code == 0 and out.endswith("eor 4\n")
 
--- a/tests/test_channel.py
+++ b/tests/test_channel.py
@@ -15,8 +15,10 @@
 from hollowhitch.protocol.channel import ChannelError, ChannelProtocol, ServerEvent, decode_event
 
 HEAD = b"HTTP/1.1 200 OK\r\nContent-Type: text/event-stream\r\nTransfer-Encoding: chunked\r\n\r\n"
-ROW = '{"id":"s-1","host_port":"10.1.0.9:8443","locality":"east","flavor":"std","cell":2,"phase":"%s",' \
-      '"size":4,"up_since_ms":7}'
+ROW = (
+    '{"id":"s-1","host_port":"10.1.0.9:8443","locality":"east","flavor":"std","cell":2,"phase":"%s",'
+    '"size":4,"up_since_ms":7}'
+)
 
 
 def event(cursor: int, phase: str = "active") -> ServerEvent:
@@ -128,7 +130,10 @@
             gevent.sleep(0.001)
     f.follow(None)
     assert sorted(heard) == [
-        ("new", b"Last-Event-ID: 4"), ("old", b""), ("old", b"Last-Event-ID: 3")] and seen == [4, 5]
+        ("new", b"Last-Event-ID: 4"),
+        ("old", b""),
+        ("old", b"Last-Event-ID: 3"),
+    ] and seen == [4, 5]
 
 
 def test_an_event_that_never_can_be_read_is_passed_over():
--- a/tests/test_frames.py
+++ b/tests/test_frames.py
@@ -11,8 +11,15 @@
 from tests.conftest import pieces, query_class, settings
 
 TERMS = frames.Terms(settings(query_class("q"), tenants=(Tenant("acme", 1.0, 1.0),)))
-GOOD = {"service": "q", "ref": "9b1f03aa5c7e2d41", "allow": "1500", "project": "acme", "effort": "820.0",
-        "need_mb": "96", "lookup": "7f3a9c21e0b4d655"}
+GOOD = {
+    "service": "q",
+    "ref": "9b1f03aa5c7e2d41",
+    "allow": "1500",
+    "project": "acme",
+    "effort": "820.0",
+    "need_mb": "96",
+    "lookup": "7f3a9c21e0b4d655",
+}
 
 
 def request(stream: int, fields: dict[str, str] | None = None, body: bytes = b"select 1") -> bytes:
@@ -33,10 +40,18 @@
 
 @pytest.mark.parametrize(
     "change,named",
-    [({"service": "ghost"}, "service"), ({"ref": "x y"}, "ref"), ({"allow": "soon"}, "allow"),
-     ({"effort": "nan"}, "effort"), ({"effort": "1e9"}, "effort"), ({"allow": "99999999"}, "allow"),
-     ({"need_mb": "32769"}, "need_mb"), ({"project": "ghost"}, "project"),
-     ({"need_mb": "-1"}, "need_mb"), ({"replay": "a,b=c"}, "replay")],
+    [
+        ({"service": "ghost"}, "service"),
+        ({"ref": "x y"}, "ref"),
+        ({"allow": "soon"}, "allow"),
+        ({"effort": "nan"}, "effort"),
+        ({"effort": "1e9"}, "effort"),
+        ({"allow": "99999999"}, "allow"),
+        ({"need_mb": "32769"}, "need_mb"),
+        ({"project": "ghost"}, "project"),
+        ({"need_mb": "-1"}, "need_mb"),
+        ({"replay": "a,b=c"}, "replay"),
+    ],
 )
 def test_a_field_that_cannot_be_used_is_named(change, named):
     with pytest.raises(frames.FieldError, match=named):
--- a/tests/test_large_fleet.py
+++ b/tests/test_large_fleet.py
@@ -252,8 +252,10 @@
 
 
 def test_placement_holds_at_size():
-    g = large(*[engine(f"e{i}", kind="k8" if i % 2 else "k4") for i in range(40)],
-              classes=(query_class(only_kinds=("k4",)),))
+    g = large(
+        *[engine(f"e{i}", kind="k8" if i % 2 else "k4") for i in range(40)],
+        classes=(query_class(only_kinds=("k4",)),),
+    )
     sent = [of(api.Send, g.ask())[0].engine for _ in range(60)]
     assert all(int(name[1:]) % 2 == 0 for name in sent)
 
--- a/tests/test_lines.py
+++ b/tests/test_lines.py
@@ -82,14 +82,23 @@
 
 @pytest.mark.parametrize(
     "raw",
-    [b"x" * (LINE_MOST + 1), b"three words only\r\n", b"a data - 99999999\r\n", b"a data - x\r\n",
-     b"\xff b c 0\r\n", b"a data - 1\r\nabc\r\n", answer(A, "odd"), answer(A, "data", "fetches=x", page(0)),
-     answer(A, "data", "fetches=2", b"half a row"), answer(A, "data", "fetches=1", b"a\tb\t\xff\n"),
-     answer(A, "data", "fetches=9", page(0)) + answer(A, "page", "fetch_no=9", page(1)),
-     answer(A, "data", "fetches=9", page(0)) + answer(A, "page", "-", page(1)),
-     answer(A, "data", "fetches=99", page(0))
-     + b"".join(answer(A, "page", f"fetch_no={n}", b"%05990d\t\t\n" % 0) for n in range(1, 10)),
-     answer(A, "data", "fetches=1", b"%06000d\t\t\n" % 0)],
+    [
+        b"x" * (LINE_MOST + 1),
+        b"three words only\r\n",
+        b"a data - 99999999\r\n",
+        b"a data - x\r\n",
+        b"\xff b c 0\r\n",
+        b"a data - 1\r\nabc\r\n",
+        answer(A, "odd"),
+        answer(A, "data", "fetches=x", page(0)),
+        answer(A, "data", "fetches=2", b"half a row"),
+        answer(A, "data", "fetches=1", b"a\tb\t\xff\n"),
+        answer(A, "data", "fetches=9", page(0)) + answer(A, "page", "fetch_no=9", page(1)),
+        answer(A, "data", "fetches=9", page(0)) + answer(A, "page", "-", page(1)),
+        answer(A, "data", "fetches=99", page(0))
+        + b"".join(answer(A, "page", f"fetch_no={n}", b"%05990d\t\t\n" % 0) for n in range(1, 10)),
+        answer(A, "data", "fetches=1", b"%06000d\t\t\n" % 0),
+    ],
     ids=range(14),
 )
 def test_bytes_that_are_no_answer_spoil_what_follows_but_not_what_was_whole(raw):
--- a/tests/test_mechanism.py
+++ b/tests/test_mechanism.py
@@ -9,7 +9,7 @@
 from hypothesis import strategies as st
 
 from hollowhitch.policy import interface as api
-from hollowhitch.policy.state import parted
+from hollowhitch.policy.containers import parted
 from tests.conftest import Gateway, S, engine, of, query_class, report, settings
 
 Effect, Outcome = api.Effect, api.Outcome
--- a/tests/test_properties.py
+++ b/tests/test_properties.py
@@ -17,7 +17,9 @@
 
 @pytest.mark.parametrize("effect", list(Effect))
 @given(
-    seed=st.integers(0, 10**6), cancel=st.booleans(), in_order=st.booleans(),
+    seed=st.integers(0, 10**6),
+    cancel=st.booleans(),
+    in_order=st.booleans(),
     scope=st.sampled_from(api.Scope),
 )
 def test_rules_hold_in_any_order_of_events(effect, seed, cancel, in_order, scope):
@@ -71,8 +73,10 @@
                 assert a.id not in over and a.id not in left
                 if isinstance(a, api.Refuse):
                     may = a.id in ran or [k for k in out if k[0] == a.id]
-                    assert not may or effect is Effect.SAFE or (
-                        effect is Effect.KEYED and scope is api.Scope.ALL
+                    assert (
+                        not may
+                        or effect is Effect.SAFE
+                        or (effect is Effect.KEYED and scope is api.Scope.ALL)
                     )
                 over[a.id] = g.now
 
@@ -85,8 +89,13 @@
             taken[name] = (g.now, count, key)
             count += 1
             limits[name] = g.now + (expires := chance.choice([1, 300_000, 2 * S, 6 * S]))
-            g.ask(name, key=key, expires_in_us=expires, cost_us=chance.choice([0, 10_000, 900_000]),
-                  memory_mb=chance.choice([0.0, 50.0]))
+            g.ask(
+                name,
+                key=key,
+                expires_in_us=expires,
+                cost_us=chance.choice([0, 10_000, 900_000]),
+                memory_mb=chance.choice([0.0, 50.0]),
+            )
         elif step < 0.85 and out:
             (name, n), where = chance.choice(sorted(out.items()))
             outcome = Outcome.OK if chance.random() < 0.5 else chance.choice(FAILS)
--- a/tests/test_replaced.py
+++ b/tests/test_replaced.py
@@ -21,9 +21,16 @@
     "report": (query_class("report", aim_us=2 * S, deadline_us=20 * S, worth=10.0, threads=3), 9, 3 * S),
     "load": (
         query_class(
-            "load", aim_us=4 * S, deadline_us=20 * S, worth=12.0, threads=2, is_load=True,
+            "load",
+            aim_us=4 * S,
+            deadline_us=20 * S,
+            worth=12.0,
+            threads=2,
+            is_load=True,
             effect=api.Effect.KEYED,
-        ), 4, 4 * S,
+        ),
+        4,
+        4 * S,
     ),
 }
 
--- a/tests/test_rules.py
+++ b/tests/test_rules.py
@@ -179,8 +179,12 @@
     g = Gateway(engine("e1"))
     quiet = [
         api.AttemptEnded("x", 0, "e1", Outcome.OK, 1, True, 0, 0.0, None),
-        api.Note("x", 3, api.NoteKind.PROGRESS, 0.5), api.ClientLeft("x"), api.StreamBegan("x", 0),
-        api.ProbeEnded("gone", Outcome.OK, 1, None), api.MessageReceived(1, b"hi"), api.TimerFired(99),
+        api.Note("x", 3, api.NoteKind.PROGRESS, 0.5),
+        api.ClientLeft("x"),
+        api.StreamBegan("x", 0),
+        api.ProbeEnded("gone", Outcome.OK, 1, None),
+        api.MessageReceived(1, b"hi"),
+        api.TimerFired(99),
     ]
     assert all(g.do(e) == [] for e in quiet)
 
--- a/tests/test_start_times.py
+++ b/tests/test_start_times.py
@@ -5,7 +5,8 @@
 import pytest
 
 from hollowhitch.policy import interface as api
-from hollowhitch.policy.control import COLD_SAFETY, tolerated_doubt_us
+from hollowhitch.policy.constants import COLD_BUDGET_SHARE
+from hollowhitch.policy.slow_start import tolerated_doubt_us
 from hollowhitch.policy.start_times import StartTimes
 from tests.conftest import Gateway, S, engine, of, settings
 
@@ -93,5 +94,5 @@
             for age in (int(tolerated_doubt_us(settings(rules=rules).rules)), 0)
         )
         reckoned = doubted.c._cold_budget(doubted.c.engines["a"])
-        allowed = sure.c._cold_budget(sure.c.engines["a"]) / COLD_SAFETY
+        allowed = sure.c._cold_budget(sure.c.engines["a"]) / COLD_BUDGET_SHARE
         assert reckoned <= allowed * 1.0001
--- a/tests/test_tables.py
+++ b/tests/test_tables.py
@@ -30,7 +30,10 @@
         ("select * from (staging.a join s_3.b on true)", 3),
         ("select a is distinct from b_1.c from d_2.e for update of x_3.y", 2),
         ("insert into s_1.t (c_2, d_3) values ('x')", 1),
-        ("select 1", 0), ("", 0), ("select a_1.b", 0), ("select 'unclosed from a_1.b", 0),
+        ("select 1", 0),
+        ("", 0),
+        ("select a_1.b", 0),
+        ("select 'unclosed from a_1.b", 0),
         ("/* unclosed from a_1.b", 0),
     ],
 )
