End the writer of a closed connection at once, so that the connection is freed

Cause: moved the shutdown of the socket into _shut, which passes over OSError. The writer of a connection that is closed already no longer ended there, went on to linger, and was killed while it did.

Change: the writer returns where the connection is closed, and a closed connection lets go of its writer.

--- a/hollowhitch/net/clients.py
+++ b/hollowhitch/net/clients.py
@@ -171,8 +171,9 @@
             self.host.gateway.left(query)
         self.protocol.open.clear()  # nor is anything taken that was read and has not had its turn
         self.outbox.close()
-        if self._writer is not None and self._writer is not gevent.getcurrent():
-            self._writer.kill(block=False)
+        writer, self._writer = self._writer, None  # whose traceback would keep us until a collection
+        if writer is not None and writer is not gevent.getcurrent():
+            writer.kill(block=False)
         self.discard_unread()
         self.sock.close()  # which ends the reader
         self.host.closed(self)
@@ -225,6 +226,8 @@
                 if self.outbox.closed or (self.ending and not self._owes_an_answer()):
                     break
                 gevent.sleep(OPEN_S if self.protocol.open else UNREAD_S)
+            if self.closed:
+                return
             self._shut()
             gevent.sleep(LINGER_S)
         except OSError:
--- a/tests/test_proxy.py
+++ b/tests/test_proxy.py
@@ -4,6 +4,7 @@
 
 import contextlib
 import dataclasses
+import gc
 import json
 import os
 import signal
@@ -11,6 +12,7 @@
 import subprocess
 import sys
 import time
+import weakref
 from collections.abc import Callable
 
 import gevent
@@ -332,6 +334,29 @@
     assert len(counts) == 5
 
 
+def test_closed_connections_are_freed_without_a_collection(start, monkeypatch):
+    """Guards the memory limit: collections are rare, and clients that never ask come by the hundred."""
+    monkeypatch.setattr(clients, "WHOLE_S", 0.05)
+    monkeypatch.setattr(front, "SWEEP_S", 0.01)
+    proxy, _ = start(rows)
+    gc.collect()
+    gc.disable()
+    try:
+        silent = [Client(proxy) for _ in range(10)]
+        while len(proxy.front.connections) < len(silent):
+            gevent.sleep(0.001)
+        freed = [weakref.ref(connection) for connection in proxy.front.connections]
+        for client in silent:
+            assert client.answer()[:2] == (0, frames.FAILED)
+            client.sock.close()
+        while proxy.front.connections:
+            gevent.sleep(0.001)
+        gevent.sleep(0.01)
+        assert sum(connection() is not None for connection in freed) <= 2  # what the loop still holds
+    finally:
+        gc.enable()
+
+
 def test_an_engine_that_drains_meanwhile_is_sent_nothing(start, monkeypatch):
     """The drain rule is checked again just before a request is written."""
     proxy, (engine,) = start(rows)
