Keep the fault test's rule of late news and the look-up of a life in one place

Need: checker.py and order_checker.py each had when news of a troubled channel counts as told, and which process of a proxy ran at a time; orders.py and scenario.py each had STARTING_S.

Change: Run.is_troubled, Run.life_at and TOLD_LATE_S in records.py, STARTING_S in proxies.py, used by all. No bound and no check changes.

--- a/faults/checker.py
+++ b/faults/checker.py
@@ -13,6 +13,7 @@
 
 from faults.order_checker import OrderChecker
 from faults.records import (
+    TOLD_LATE_S,
     AttemptEnd,
     AttemptRecord,
     Break,
@@ -26,7 +27,6 @@
 
 SOCKETS_SLACK_S = 0.05  # each time limit on sockets is longer by this
 CANCEL_SLACK_S = 0.1
-TOLD_LATE_S = 7.0  # what the channel has to tell counts as told by then, heard or not
 WAIT_SLACK_S = 0.15
 CROSSING_S = 0.05  # a request that crosses a close by no more than this is the client's to send again
 READ_ORDER_S = 0.02  # two sockets' events may be read in the wrong order by this much
@@ -165,8 +165,7 @@
     def _told_at(self, state: ServerState) -> float:
         """An event counts as told at once, or within 7 s where calls to the channel were in trouble."""
         at = state.told_at
-        troubled = any(at - TOLD_LATE_S < trouble < at + TOLD_LATE_S for trouble in self.run.channel_troubles)
-        return at + TOLD_LATE_S if troubled else at
+        return at + TOLD_LATE_S if self.run.is_troubled(at) else at
 
     def _check_slow_start(self) -> None:
         cold_s, window = self._rule_s("coldUs"), self._rule_s("tipAfterUs")
@@ -262,6 +261,4 @@
         return any(a.end is AttemptEnd.SERVED for a in self.attempts.get(ref, ()))
 
     def _life(self, record: RequestRecord) -> ProxyLife | None:
-        lives = [life for life in self.run.lives if life.proxy == record.proxy]
-        begun = [life for life in lives if life.started_at <= record.sent_at]
-        return begun[-1] if begun else None
+        return self.run.life_at(record.proxy, record.sent_at)
--- a/faults/order_checker.py
+++ b/faults/order_checker.py
@@ -10,7 +10,7 @@
 from collections.abc import Iterator
 from dataclasses import dataclass
 
-from faults.records import Break, ConnectionRecord, OrderRecord, ProxyLife, RequestRecord, Run
+from faults.records import TOLD_LATE_S, Break, ConnectionRecord, OrderRecord, ProxyLife, RequestRecord, Run
 
 ORDER_WITHIN_S = 1.0  # an answer to a call is owed by then
 CLEARED_WITHIN_S = 4.0  # after a call to drain, no idle or busy connection is held any more
@@ -18,7 +18,6 @@
 READY_AGAIN_S = 2.0  # after the drain has ended
 SLACK_S = 0.05
 HEARD_S = 0.25  # for news of the channel to reach a proxy that hears it
-TOLD_LATE_S = 7.0  # where calls to the channel are in trouble
 UNKNOWN = 404
 LOOK_EVERY_S = 0.5  # between looks at the connections of a drained proxy
 NEW_S = 0.5  # a connection so new may still be about to ask
@@ -63,7 +62,7 @@
 
     def _check_answer(self, order: OrderRecord) -> None:
         by = order.sent_at + ORDER_WITHIN_S
-        life = self._life(order.proxy, order.sent_at)
+        life = self.run.life_at(order.proxy, order.sent_at)
         owed = life is not None and life.ready_at is not None and life.ready_at <= order.sent_at
         if not owed or self._ends(life) <= by:
             return
@@ -79,8 +78,7 @@
         if not told or order.status != UNKNOWN:
             return False
         first = min(told)
-        trouble = any(abs(first - at) < TOLD_LATE_S for at in self.run.channel_troubles)
-        return order.sent_at < first + (TOLD_LATE_S if trouble else HEARD_S)
+        return order.sent_at < first + (TOLD_LATE_S if self.run.is_troubled(first) else HEARD_S)
 
     def _spans(self, begins: str, ends: str) -> Iterator[Span]:
         """Times in which an order stood: from its first call until the call that undoes it."""
@@ -105,7 +103,7 @@
         return Span(order.proxy, order.subject, order.sent_at, binds, min(until, self._life_ended(order)))
 
     def _life_ended(self, order: OrderRecord) -> float:
-        return self._ends(self._life(order.proxy, order.sent_at))
+        return self._ends(self.run.life_at(order.proxy, order.sent_at))
 
     # Draining
 
@@ -190,10 +188,6 @@
 
     # Helpers
 
-    def _life(self, proxy: str, at: float) -> ProxyLife | None:
-        lives = [life for life in self.run.lives if life.proxy == proxy and life.started_at <= at]
-        return lives[-1] if lives else None
-
     def _ends(self, life: ProxyLife | None) -> float:
         """When a process was told to end, was killed or ended by itself, whichever came first."""
         if life is None:
--- a/faults/orders.py
+++ b/faults/orders.py
@@ -14,13 +14,12 @@
 from faults.channel import Member
 from faults.lab import Lab
 from faults.operators import Operator
-from faults.proxies import Proxy
+from faults.proxies import STARTING_S, Proxy
 from faults.servers import Server
 
 HALF_CALLS = (b"", b"POST /drain HTTP/1.1\r\nContent-Le", b"GET /ready HTTP/1.1\r\n", b"\0\0\0\5\4")
 HOLD_S = 4.0  # for which a caller keeps a connection without a whole call
 ORDER_SHARE = 0.5  # of disturbances that an order comes beside
-STARTING_S = 0.3  # before which a signal may find no handler
 
 
 class Orders:
--- a/faults/proxies.py
+++ b/faults/proxies.py
@@ -22,6 +22,7 @@
 ROOT = Path(__file__).resolve().parent.parent
 READY_WITHIN_S = 20.0
 POLL_S = 0.02
+STARTING_S = 0.3  # of age, before which a signal may find no handler
 FIRST_NET, NETS, HOSTS = 16, 200, 254  # 127.16.0.0 and up: a net for each process with a lab
 _hosts = itertools.count()
 
--- a/faults/records.py
+++ b/faults/records.py
@@ -5,6 +5,8 @@
 import enum
 from dataclasses import dataclass, field
 
+TOLD_LATE_S = 7.0  # what the channel has to tell counts as told by then, heard or not
+
 
 class Code(enum.IntEnum):
     """Codes of a client's answer."""
@@ -163,6 +165,15 @@
     stalls: list[tuple[float, float]] = field(default_factory=list)  # of the stand-ins: when, for how long
     injected: dict[str, int] = field(default_factory=dict)  # faults by kind
 
+    def is_troubled(self, at: float) -> bool:
+        """Were calls to the channel in trouble so near to this time that news of then counts as told late?"""
+        return any(abs(at - trouble) < TOLD_LATE_S for trouble in self.channel_troubles)
+
+    def life_at(self, proxy: str, at: float) -> ProxyLife | None:
+        """The newest process of a proxy that had started by then."""
+        lives = [life for life in self.lives if life.proxy == proxy and life.started_at <= at]
+        return lives[-1] if lives else None
+
     def note(self, at: float, kind: str, text: str) -> None:
         """Write down a fault that the driver brought about."""
         self.events.append((at, f"{kind}: {text}"))
--- a/faults/scenario.py
+++ b/faults/scenario.py
@@ -16,7 +16,7 @@
 from faults.front import Front
 from faults.lab import Lab
 from faults.orders import Orders
-from faults.proxies import Proxy
+from faults.proxies import STARTING_S, Proxy
 from faults.records import RequestRecord
 from faults.servers import Behaviour, Server
 from faults.settings import draw_settings, grace_s, longest_deadline_s
@@ -35,7 +35,6 @@
 KEYS = 3
 RATES, FLEET_RATES = (5.0, 40.0), (1.0, 6.0)  # requests a second of one client
 FLEET_PROXIES, FLEET_SERVERS = (10, 40), (6, 16)
-STARTING_S = 0.3  # before which a signal may find no handler
 KEY_GAP_S, KEY_GAP_NEW_S = 0.06, 0.25  # between requests of one key; after one on a new connection
 GARBAGE = (b"\xff" * 40, b"\0\0\0\x01x", b"GET / HTTP/1.1\r\n\r\n")
 
