--- a/faults/acceptor.py
+++ b/faults/acceptor.py
@@ -7,6 +7,8 @@
 import gevent
 from gevent import socket
 
+from faults.dating import enable_receive_timestamps
+
 LISTEN_BACKLOG = 256
 
 
@@ -17,6 +19,7 @@
         self._handle_connection = handle_connection
         self._listener = socket.socket()
         self._listener.setsockopt(socket.SOL_SOCKET, socket.SO_REUSEADDR, 1)
+        enable_receive_timestamps(self._listener)
         self._listener.bind((host, 0))
         self._listener.listen(LISTEN_BACKLOG)
         self.address: tuple[str, int] = self._listener.getsockname()
--- a/faults/checker.py
+++ b/faults/checker.py
@@ -35,8 +35,6 @@
 # A request sent less than this many seconds before its client saw the proxy close the connection, or later,
 # may have crossed the close. If it reached no engine, no answer is due: the client has to send it again.
 CLOSE_RACE_S = 0.05
-# Events of two sockets may be read in the wrong order if they are no more than this many seconds apart.
-EVENT_ORDER_SLACK_S = 0.02
 # Matches the metric with which a process counts the rule violations that it found in itself.
 VIOLATION_METRIC = re.compile(r"^hollowhitch_violations_total{", re.MULTILINE)
 # A slow-start budget below this many requests is widened by 3 square roots of itself instead of 2.
@@ -55,6 +53,7 @@
     ) -> None:
         self.run, self.settings = run, settings
         self.engine_cores, self.mean_work_s = engine_cores, mean_work_s
+        self.max_date_difference_s = 2 * run.dating_error_s  # error of the time between two dated events
         self.classes = {query_class["name"]: query_class for query_class in settings["classes"]}
         self.requests = {record.ref: record for record in run.requests}
         self.attempts: dict[str, list[AttemptRecord]] = defaultdict(list)
@@ -90,11 +89,11 @@
             self._add_violation("second answer", record.answers[1].received_at, text)
         if record.answers:
             answer = record.answers[0]
-            if answer.received_at > due_at:
+            if answer.earliest_at > due_at:
                 self._add_violation(
                     "lost",
                     answer.received_at,
-                    f"{record.ref} was answered {answer.received_at - due_at:.3f} s too late",
+                    f"{record.ref} was answered {answer.earliest_at - due_at:.3f} s too late",
                 )
             self._check_refusal(record, answer.code, answer.received_at)
             if answer.code is AnswerCode.SERVED and not self._was_served(record.ref):
@@ -142,8 +141,8 @@
         if record.cancelled_at is None:
             return
         for attempt in self._read_promptly(self.attempts.get(record.ref, ())):
-            late_s = attempt.first_byte_at - record.cancelled_at - CANCEL_SLACK_S
-            if late_s > EVENT_ORDER_SLACK_S:
+            late_s = _earliest_arrival(attempt) - record.cancelled_at - CANCEL_SLACK_S
+            if late_s > self.max_date_difference_s:
                 text = f"{record.ref} reached an engine {late_s:.3f} s too late after its client cancelled it"
                 self._add_violation("lost", attempt.first_byte_at, text)
 
@@ -154,7 +153,7 @@
         for earlier, later in zip(attempts, attempts[1:], strict=False):
             if earlier.end_read_late or later.read_late:
                 continue
-            if earlier.ended_at is None or later.arrived_at < earlier.ended_at - EVENT_ORDER_SLACK_S:
+            if later.arrived_at < _earliest_end(earlier) - self.max_date_difference_s:
                 self._add_violation("duplicate", later.arrived_at, f"{record.ref} had two attempts in flight")
         first_run = next((a for a in attempts if not self._never_ran(a)), None)
         if first_run is None or query_class["semantics"] == "retryable":
@@ -164,7 +163,7 @@
             query_class.get("repeatWindowUs", 0) / 1e6 if query_class["semantics"] == "dedup" else -math.inf
         )
         for attempt in self._read_promptly(attempts[attempts.index(first_run) + 1 :]):
-            age_s = attempt.first_byte_at - first_run.first_byte_at
+            age_s = _earliest_arrival(attempt) - first_run.first_byte_at
             if age_s > window_s + SOCKET_SLACK_S:
                 text = (
                     f"{record.ref} ({record.class_name}) was sent again {age_s:.3f} s after it may have run"
@@ -173,7 +172,7 @@
 
     def _check_engine_wait(self, record: RequestRecord, attempts: list[AttemptRecord]) -> None:
         for attempt in self._read_promptly(attempts):
-            left_s = record.sent_at + record.allowed_s - attempt.first_byte_at
+            left_s = record.sent_at + record.allowed_s - _earliest_arrival(attempt)
             if attempt.wait_s > left_s + WAIT_SLACK_S:
                 text = f"{record.ref} was given {attempt.wait_s:.3f} s, but only {left_s:.3f} s were left"
                 self._add_violation("deadline", attempt.first_byte_at, text)
@@ -189,8 +188,8 @@
         grace_s = self._rule_seconds("drainGraceUs") + SOCKET_SLACK_S
         for attempt in self._read_promptly(self.run.attempts):
             binding_at = binding_times.get(attempt.engine)
-            if binding_at is not None and attempt.first_byte_at > binding_at + grace_s:
-                elapsed_s = attempt.first_byte_at - binding_at
+            if binding_at is not None and _earliest_arrival(attempt) > binding_at + grace_s:
+                elapsed_s = _earliest_arrival(attempt) - binding_at
                 text = f"{attempt.ref} went to {attempt.engine} {elapsed_s:.3f} s after its drain took effect"
                 self._add_violation("drain", attempt.first_byte_at, text)
 
@@ -255,21 +254,18 @@
     def _check_key_pair(self, earlier: RequestRecord, later: RequestRecord, later_began_at: float) -> None:
         attempts = self.attempts.get(earlier.ref, ())
         attempts = [a for a in attempts if not (a.read_late or a.end_read_late)]
-        attempt_end_times = [a.ended_at if a.ended_at is not None else math.inf for a in attempts]
-        request_end_times = [answer.received_at for answer in earlier.answers[:1]]
-        request_end_times += [
-            at for at in (earlier.cancelled_at, earlier.connection_ended_at) if at is not None
-        ]
-        last_attempt_end = max(attempt_end_times, default=0.0)
-        began_out_of_order = any(a.arrived_at > later_began_at + EVENT_ORDER_SLACK_S for a in attempts)
-        if later_began_at < last_attempt_end - EVENT_ORDER_SLACK_S or began_out_of_order:
+        certainly_began_at = later_began_at + self.max_date_difference_s
+        last_attempt_end = max((_earliest_end(attempt) for attempt in attempts), default=0.0)
+        began_out_of_order = any(_earliest_arrival(a) > certainly_began_at for a in attempts)
+        if certainly_began_at < last_attempt_end or began_out_of_order:
             self._add_violation(
                 "order",
                 later_began_at,
                 f"{later.ref} was sent while {earlier.ref} with its key was in flight",
             )
-        elif not request_end_times or later_began_at < min(request_end_times) - SOCKET_SLACK_S:
-            text = f"{later.ref} was sent before {earlier.ref} with its key was answered"
+        elif certainly_began_at < (over_at := _earliest_request_end(earlier)):
+            early_s = over_at - later_began_at
+            text = f"{later.ref} was sent {early_s:.4f} s before {earlier.ref} with its key was answered"
             self._add_violation("order", later_began_at, text)
 
     # Process exits.
@@ -321,3 +317,31 @@
 
     def _process_of(self, record: RequestRecord) -> ProcessRecord | None:
         return self.run.process_at(record.proxy, record.sent_at)
+
+
+def _earliest_arrival(attempt: AttemptRecord) -> float:
+    """Return the earliest time at which an attempt can have reached its engine."""
+    return attempt.first_byte_at if attempt.earliest_at is None else attempt.earliest_at
+
+
+def _earliest_end(attempt: AttemptRecord) -> float:
+    """Return the earliest time at which an attempt can have ended; infinity if it has not."""
+    if attempt.ended_at is None:
+        return math.inf
+    return attempt.ended_at if attempt.ended_earliest_at is None else attempt.ended_earliest_at
+
+
+def _earliest_request_end(record: RequestRecord) -> float:
+    """Return the earliest time at which a request can have been over; infinity if it never was.
+
+    Answers tell nothing if the client does not read them at once: they may wait in its socket.
+    """
+    end_times = [answer.earliest_at for answer in record.answers[:1]]
+    end_times += [
+        at
+        for at in (record.cancel_began_at or record.cancelled_at, record.connection_ended_earliest_at)
+        if at
+    ]
+    if record.connection_ended_earliest_at is None and record.connection_ended_at is not None:
+        end_times.append(record.connection_ended_at)
+    return min(end_times, default=math.inf) if record.is_read else 0.0
--- a/faults/clients.py
+++ b/faults/clients.py
@@ -11,6 +11,7 @@
 from gevent.event import Event
 
 from faults import wire
+from faults.dating import DatedReader, Reading, enable_receive_timestamps
 from faults.records import Answer, AnswerCode, ConnectionRecord, RequestRecord, RunRecord
 
 if TYPE_CHECKING:
@@ -23,7 +24,8 @@
     """One client connection to a proxy.
 
     `receive_buffer_bytes` is the size of the socket's receive buffer, None for the system's default. With
-    `closes_when_ended` set to False the client keeps its side open after the proxy closed the other.
+    `closes_when_ended` set to False the client keeps its side open after the proxy closed the other. A slow
+    client waits for `read_pause_s` before each read.
     """
 
     created_count = 0  # connections that this process has created
@@ -35,13 +37,16 @@
         run: RunRecord,
         receive_buffer_bytes: int | None = None,
         closes_when_ended: bool = True,
+        read_pause_s: float = 0.0,
     ) -> None:
         ClientConnection.created_count += 1
         self.number = ClientConnection.created_count
         self.proxy, self.run = proxy, run
         self.opened_at = time.monotonic()
         self.closes_when_ended = closes_when_ended
+        self.read_pause_s = read_pause_s
         self.sock = socket.socket()
+        enable_receive_timestamps(self.sock)
         if receive_buffer_bytes is not None:
             self.sock.setsockopt(socket.SOL_SOCKET, socket.SO_RCVBUF, receive_buffer_bytes)
         self.sock.settimeout(CONNECT_TIMEOUT_S)
@@ -92,6 +97,7 @@
         body = b"select a from sales_1.orders"
         frame = wire.encode_frame(wire.REQUEST, self._stream, wire.encode_fields(fields) + body)
         record = RequestRecord(ref, self.proxy, self.number, class_name, 0.0, allowed_s, replay, key)
+        record.is_read = self.reading and not self.read_pause_s
         self.open_requests[self._stream] = record
         try:
             if slowly:
@@ -106,12 +112,14 @@
         record.sent_at = time.monotonic()
         self.run.requests.append(record)
         if self.ended_at is not None:
-            record.connection_ended_at = self.ended_at
+            record.connection_ended_at = record.connection_ended_earliest_at = self.ended_at
         return record
 
     def stop_reading(self) -> None:
         """Stop reading, so that the proxy's answers fill the buffers of the connection."""
         self.reading = self.record.is_reading = False
+        for record in self.open_requests.values():
+            record.is_read = False
 
     def check_readiness(self) -> None:
         """Send a readiness check; `ready_received` is set when the proxy answers that it is ready."""
@@ -122,6 +130,7 @@
         for stream, open_record in list(self.open_requests.items()):
             if open_record is record:
                 del self.open_requests[stream]
+                record.cancel_began_at = time.monotonic()
                 self._send_ignoring_errors(wire.encode_frame(wire.CANCEL, stream))
                 record.cancelled_at = time.monotonic()
 
@@ -139,37 +148,59 @@
             return
         self._closed = True
         self._reader.kill(block=False)
+        began_at = time.monotonic()
         self.sock.close()
         now = time.monotonic()
         self.record.ended_at = self.record.ended_at or now
         for record in self.open_requests.values():
-            record.cancelled_at = now
+            record.cancel_began_at, record.cancelled_at = began_at, now
         self.open_requests.clear()
 
     def _read(self) -> None:
-        reader = wire.FrameReader()
+        reader, frames = DatedReader(self.sock), wire.FrameReader()
         reset = False
+        earliest_at = time.monotonic()
         try:
             while True:
-                while not self.reading:
-                    gevent.sleep(0.02)
-                data = self.sock.recv(65_536)
-                if not data:
+                self._wait_before_read(reader)
+                reading = reader.read()
+                earliest_at = reading.earliest_at
+                if not reading.data:
                     break
-                for frame in reader.feed(data):
-                    self._handle_frame(frame)
+                self._handle_frames(
+                    frames.feed(reading.data), reading, ends_frame=not frames.has_partial_frame
+                )
         except OSError:
             reset = True
+            earliest_at = reader.earliest_unread_at()
+        self._connection_ended(reset, earliest_at)
+
+    def _wait_before_read(self, reader: DatedReader) -> None:
+        if self.read_pause_s or not self.reading:
+            reader.pause()
+            gevent.sleep(self.read_pause_s)
+        while not self.reading:
+            gevent.sleep(0.02)
+
+    def _connection_ended(self, reset: bool, earliest_at: float) -> None:
         self.ended_at = time.monotonic()
         self.record.ended_at = self.record.ended_at or self.ended_at
         for record in self.open_requests.values():
             record.connection_ended_at, record.connection_reset = self.ended_at, reset
+            record.connection_ended_earliest_at = earliest_at
         self.ended.set()
         if not self._closed and self.closes_when_ended:
             self._closed = True
             self.sock.close()
 
-    def _handle_frame(self, frame: wire.Frame) -> None:
+    def _handle_frames(self, frames: list[wire.Frame], reading: Reading, ends_frame: bool) -> None:
+        """Handle the frames that a reading completes. It dates the last one, if that ends with the reading."""
+        for frame in frames:
+            is_dated = ends_frame and frame is frames[-1]
+            earliest_at = reading.received_at if is_dated else reading.earliest_at
+            self._handle_frame(frame, reading.received_at, earliest_at)
+
+    def _handle_frame(self, frame: wire.Frame, received_at: float, earliest_at: float) -> None:
         if frame.kind == wire.CLOSING:
             self.closing_received.set()
         elif frame.kind == wire.READY and frame.payload[0] == wire.IS_READY:
@@ -179,7 +210,7 @@
             cooldown_ms = int(fields["cooldown"]) if "cooldown" in fields else None
             record = self.open_requests.get(frame.stream)
             if record is not None:
-                record.answers.append(Answer(time.monotonic(), AnswerCode(code), body, cooldown_ms))
+                record.answers.append(Answer(received_at, AnswerCode(code), body, cooldown_ms, earliest_at))
 
 
 def new_ref(rng: Random) -> str:
--- a/faults/engines.py
+++ b/faults/engines.py
@@ -13,6 +13,7 @@
 
 from faults import wire
 from faults.acceptor import Acceptor
+from faults.dating import DatedReader, Reading
 from faults.records import AttemptEnd, AttemptRecord, RunRecord
 
 ROW = b"a\tb\tc\n"
@@ -26,6 +27,7 @@
     """How an engine treats the requests that arrive while this behaviour is set."""
 
     work_s: float = 0.02  # mean run time of a query
+    min_work_s: float = 0.0  # least run time of a query, to which the random one is added
     hang_share: float = 0.0  # share of requests that are never answered
     fail_share: float = 0.0  # share of requests that fail after they ran
     full_share: float = 0.0  # share of requests that are refused at once because the engine is full
@@ -42,6 +44,7 @@
     def __init__(self, name: str, host: str, run: RunRecord, rng: random.Random) -> None:
         self.name, self.run, self.rng = name, run, rng
         self.behaviour = Behaviour()
+        self.min_work_by_class: dict[str, float] = {}  # least run time in seconds of the queries of a class
         self.draining = False  # the channel announced that the engine is leaving or has left
         self.last_silent_at = 0.0
         self.connections: set[EngineConnection] = set()
@@ -70,6 +73,19 @@
         self.reset_all()
 
 
+@dataclass(frozen=True, slots=True)
+class MessageTime:
+    """When a message arrived: no later and no earlier than these times."""
+
+    latest_at: float
+    earliest_at: float
+
+
+def _message_time(reading: Reading, ends_message: bool) -> MessageTime:
+    """Return the time of a message; `ends_message` is whether the reading ends with its last byte."""
+    return MessageTime(reading.received_at, reading.received_at if ends_message else reading.earliest_at)
+
+
 class EngineConnection:
     """One connection of a proxy to a stub engine."""
 
@@ -78,6 +94,9 @@
         self.attempts: dict[str, AttemptRecord] = {}  # running attempts by ref
         self.pages_left: dict[str, int] = {}  # number of pages still to be fetched, by ref
         self.closed = False
+        self._message: MessageTime | None = (
+            None  # when the proxy's last message arrived; None: the engine acts
+        )
         sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
 
     def serve(self) -> None:
@@ -88,34 +107,36 @@
             "FETCH": self._handle_fetch,
             "HELO": self._handle_hello,
         }
-        data = bytearray()
-        first_byte_at = 0.0
+        reader, data = DatedReader(self.sock), bytearray()
+        first_byte = MessageTime(0.0, 0.0)
         try:
-            while chunk := self.sock.recv(65_536):
+            while (reading := reader.read()).data:
                 read_late = self.engine.last_silent_at > time.monotonic() - AFTER_SILENCE_S
                 while self.engine.behaviour.silent:
                     read_late = True
+                    reader.pause()
                     gevent.sleep(0.02)
                     self.engine.last_silent_at = time.monotonic()
-                first_byte_at = first_byte_at if data else time.monotonic()
-                data += chunk
+                first_byte = first_byte if data else MessageTime(reading.received_at, reading.earliest_at)
+                data += reading.data
                 while (end := data.find(b"\r\n")) >= 0:
                     words = data[:end].decode().split(" ")
+                    size = end + 2 + (int(words[3]) + 2 if words[0] == "REQ" else 0)
+                    if len(data) < size:
+                        break
+                    del data[:size]
+                    self._message = _message_time(reading, ends_message=not data)
                     if words[0] == "REQ":
-                        size = int(words[3])
-                        if len(data) < end + 2 + size + 2:
-                            break
-                        del data[: end + 2 + size + 2]
-                        self._handle_request(words, first_byte_at, read_late)
+                        self._handle_request(words, first_byte, read_late)
                     else:
-                        del data[: end + 2]
                         handlers[words[0]](words)
-                    first_byte_at = time.monotonic()
+                    first_byte = MessageTime(reading.received_at, reading.earliest_at)
         except OSError:
             pass
+        self._message = MessageTime(time.monotonic(), reader.earliest_unread_at())
         self.close(AttemptEnd.CLOSED)
 
-    def _handle_request(self, words: list[str], first_byte_at: float, read_late: bool) -> None:
+    def _handle_request(self, words: list[str], first_byte: MessageTime, read_late: bool) -> None:
         fields = wire.decode_request_fields(words[2])
         ref = words[1]
         attempt = AttemptRecord(
@@ -123,8 +144,9 @@
             engine=self.engine.name,
             proxy="",
             class_name=fields["class"],
-            first_byte_at=first_byte_at,
-            arrived_at=time.monotonic(),
+            first_byte_at=first_byte.latest_at,
+            arrived_at=self._message.latest_at,
+            earliest_at=min(first_byte.earliest_at, self._message.earliest_at),
             wait_s=int(fields["wait"]) / 1000,
             once=fields.get("once"),
             read_late=read_late,
@@ -146,7 +168,8 @@
             gevent.sleep(rng.uniform(0.0, 2 * behaviour.reset_after_s))
             return self.reset()
         draw -= behaviour.reset_share
-        gevent.sleep(rng.expovariate(1 / behaviour.work_s))
+        min_work_s = max(behaviour.min_work_s, self.engine.min_work_by_class.get(attempt.class_name, 0.0))
+        gevent.sleep(min_work_s + rng.expovariate(1 / behaviour.work_s))
         if draw < behaviour.fail_share:
             return self._finish(ref, attempt, "failed", AttemptEnd.FAILED)
         pages = behaviour.pages
@@ -159,8 +182,10 @@
         if self.attempts.get(ref) is not attempt:
             return
         fields, body = ("fetches=1", self._page()) if kind == "data" else ("-", b"")
+        self._message = None
         self._record_end(ref, end)
         self._write(wire.encode_answer_line(ref, kind, fields, body))
+        attempt.end_written_at = time.monotonic()
 
     def _page(self) -> bytes:
         return ROW * max(1, self.engine.behaviour.page_bytes // len(ROW))
@@ -176,7 +201,9 @@
         self.pages_left.pop(ref, None)
         if attempt is not None:
             engine = self.engine
-            attempt.ended_at, attempt.end = time.monotonic(), end
+            attempt.end, message = end, self._message
+            attempt.ended_at = time.monotonic() if message is None else message.latest_at
+            attempt.ended_earliest_at = attempt.ended_at if message is None else message.earliest_at
             attempt.end_read_late = engine.behaviour.silent or engine.last_silent_at > attempt.arrived_at
 
     def _handle_stop(self, words: list[str]) -> None:
@@ -190,9 +217,12 @@
         if ref not in self.pages_left:
             return self._write(wire.encode_answer_line(ref, "failed"))
         self.pages_left[ref] -= 1
+        attempt = self.attempts.get(ref)
         if not self.pages_left[ref]:
             self._record_end(ref, AttemptEnd.SERVED)
         self._write(wire.encode_answer_line(ref, "page", f"fetch_no={number}", self._page()))
+        if attempt is not None and attempt.ended_at is not None:
+            attempt.end_written_at = time.monotonic()
 
     def _handle_hello(self, words: list[str]) -> None:
         self._write(wire.encode_answer_line(words[1], "well"))
@@ -200,6 +230,7 @@
     def reset(self) -> None:
         """Reset the connection; its running attempts end as RESET."""
         if not self.closed:
+            self._message = None
             self.sock.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, LINGER_RESET)
             self.close(AttemptEnd.RESET)
 
--- a/faults/harness.py
+++ b/faults/harness.py
@@ -11,6 +11,7 @@
 
 from faults.channel import CommandChannel, Member
 from faults.clients import ClientConnection
+from faults.dating import polls, wall_clock_offset
 from faults.engines import StubEngine
 from faults.proxies import Proxy
 from faults.records import RunRecord
@@ -44,6 +45,7 @@
         self.channel.announce(*(Member(engine) for engine in self.engines), complete=True)
         self.proxies = [Proxy(f"n{i}", folder, self.run, fault_library) for i in range(proxies)]
         self.configure_all()
+        polls()  # starts to watch the event loop
         self._stall_watcher = gevent.spawn(self._record_stalls)
 
     def _record_stalls(self) -> None:
@@ -86,6 +88,7 @@
 
     def close(self) -> None:
         """Kill the proxies and close all connections, without recording the kills."""
+        self.run.dating_error_s = wall_clock_offset.max_error_s
         self._stall_watcher.kill()
         for proxy in self.proxies:
             if proxy.is_running and proxy.process is not None:
--- a/faults/records.py
+++ b/faults/records.py
@@ -6,6 +6,7 @@
 from __future__ import annotations
 
 import enum
+import math
 from dataclasses import dataclass, field
 
 # Seconds after which an event of the command channel counts as delivered, even if it was announced during an
@@ -50,10 +51,17 @@
 class Answer:
     """An answer as its client received it."""
 
-    received_at: float
+    received_at: float  # no later than this; see `earliest_at`
     code: AnswerCode
     body: bytes = b""
     cooldown_ms: int | None = None  # how long the client is asked to wait before it sends again, if at all
+    earliest_at: float = (
+        math.nan
+    )  # the earliest time at which it can have been received; `received_at` by default
+
+    def __post_init__(self) -> None:
+        if math.isnan(self.earliest_at):
+            self.earliest_at = self.received_at
 
 
 @dataclass(slots=True)
@@ -69,8 +77,11 @@
     replay: str | None = None  # the idempotency key
     key: str | None = None  # requests with the same key run one after another if their class is sequential
     answers: list[Answer] = field(default_factory=list)
-    cancelled_at: float | None = None  # when the client sent a CANCEL frame or closed its connection
-    connection_ended_at: float | None = None  # when the proxy closed or reset the connection
+    cancelled_at: float | None = None  # when the client had sent a CANCEL frame or closed its connection
+    cancel_began_at: float | None = None  # when it began to do so
+    connection_ended_at: float | None = None  # when the proxy had closed or reset the connection
+    connection_ended_earliest_at: float | None = None  # the earliest time at which it can have done so
+    is_read: bool = True  # False: the client does not read its answers at once
     connection_reset: bool = False
 
 
@@ -83,11 +94,14 @@
     proxy: str
     class_name: str
     first_byte_at: float
-    arrived_at: float  # when the whole request had been read
+    arrived_at: float  # when the whole request had arrived
     wait_s: float  # the time in which the engine has to answer, as the proxy told it
     once: str | None = None  # the idempotency key
     ended_at: float | None = None
     end: AttemptEnd | None = None
+    earliest_at: float | None = None  # the earliest time at which its first byte can have arrived
+    ended_earliest_at: float | None = None  # the earliest time at which it can have ended
+    end_written_at: float | None = None  # when the engine had written the last bytes of its answer
     end_read_late: bool = False  # the engine was silent during the attempt, so `ended_at` may be too late
     read_late: bool = False  # the engine was silent, so the request may have arrived before `first_byte_at`
 
@@ -173,6 +187,7 @@
     events: list[tuple[float, str]] = field(default_factory=list)  # times and descriptions of injected faults
     stalls: list[tuple[float, float]] = field(default_factory=list)  # ends and durations of harness stalls
     injected: dict[str, int] = field(default_factory=dict)  # number of injected faults by kind
+    dating_error_s: float = 0.0  # largest error of a date that the kernel gave
 
     def is_near_channel_outage(self, at: float) -> bool:
         """Return whether an event announced at this time may be delivered late because of an outage."""
--- a/faults/scenario.py
+++ b/faults/scenario.py
@@ -8,9 +8,11 @@
 import time
 from collections.abc import Callable
 from pathlib import Path
+from typing import Any
 
 import gevent
 
+from faults.chains import KEY_GAP_NEW_CONNECTION_S, KEY_GAP_S, ChainClient
 from faults.channel import Member
 from faults.clients import ClientConnection, new_ref, new_replay
 from faults.engines import Behaviour, StubEngine
@@ -19,7 +21,7 @@
 from faults.orders import OrderGenerator
 from faults.proxies import MIN_SIGNAL_AGE_S, Proxy
 from faults.records import RequestRecord
-from faults.settings import draw_settings, longest_deadline_s, shutdown_grace_s
+from faults.settings import CHAIN_CLASS, draw_settings, longest_deadline_s, shutdown_grace_s
 from faults.shim import Call
 
 CLOCK_STEPS_S = (-3600.0, -5.0, -0.5, 0.5, 5.0, 3600.0)
@@ -36,8 +38,8 @@
 KEY_COUNT = 3  # number of keys that requests of the class "keyed" use
 REQUEST_RATES, FLEET_REQUEST_RATES = (5.0, 40.0), (1.0, 6.0)  # requests per second of one client
 FLEET_PROXIES, FLEET_ENGINES = (10, 40), (6, 16)  # least and largest number
-# Seconds between two requests with the same key. The gap is longer after the first request on a connection.
-KEY_GAP_S, KEY_GAP_NEW_CONNECTION_S = 0.06, 0.25
+MAX_CHAIN_CLIENTS = 4  # largest number of clients that send chains of requests with one key
+CHAIN_WORK_S = (0.05, 0.4)  # least run time of such a request: the range of the engines' draws
 MALFORMED_BYTES = (b"\xff" * 40, b"\0\0\0\x01x", b"GET / HTTP/1.1\r\n\r\n")
 
 
@@ -66,6 +68,7 @@
         )
         self.has_idle_clients = self.rng.random() < 0.25
         self.is_ending = False
+        self._chain_rng = random.Random(f"chains {seed}")  # apart from the draws of everything else
         self._key_free_at: dict[tuple[str, str], float] = {}
         self._stopping: set[str] = set()  # proxies that are being stopped
         self._restarts: list[gevent.Greenlet] = []
@@ -81,6 +84,7 @@
             for proxy in self.harness.proxies
             for _ in range(1 if self.fleet else self.rng.randint(1, 3))
         ]
+        chain_clients = self._start_chain_clients()
         if self.has_idle_clients:
             clients += [gevent.spawn(self._run_idle_client, self.harness.proxies[0]) for _ in range(150)]
         ends_at = time.monotonic() + self.seconds
@@ -93,6 +97,8 @@
         self.order_generator.maybe_finish()
         gevent.joinall([gevent.spawn(self._shut_down, proxy) for proxy in self.harness.proxies])
         self.is_ending = True
+        for chain_client in chain_clients:
+            chain_client.stop()
         load_balancer.stop()
         self.order_generator.finish()
         gevent.joinall(clients, timeout=5.0)
@@ -179,6 +185,7 @@
         if len(self.harness.engines) >= 40:
             return
         engine = self.harness.add_engine()
+        self._draw_chain_work(engine)
         self._record_fault("cold start", engine.name)
         self.harness.channel.announce(Member(engine, up_since_ms=time.time_ns() // 1_000_000))
 
@@ -267,6 +274,19 @@
 
     # Clients.
 
+    def _start_chain_clients(self) -> list[ChainClient]:
+        """Start the clients that send chains, each with a key of its own, at a few of the proxies."""
+        rng = self._chain_rng
+        for engine in self.harness.engines:
+            self._draw_chain_work(engine)
+        chain_clients = []
+        for number, proxy in enumerate(self.harness.proxies[:MAX_CHAIN_CLIENTS]):
+            client_rng = random.Random(rng.random())
+            chain_client = ChainClient(proxy, f"chain-{number}", self.deadline_s, client_rng, self._connect)
+            chain_clients.append(chain_client)
+            gevent.spawn(chain_client.run)
+        return chain_clients
+
     def _run_idle_client(self, proxy: Proxy) -> None:
         while not self.is_ending:
             try:
@@ -295,11 +315,14 @@
             connection = self._act_at_random(connection, open_requests, rng)
             gevent.sleep(rng.expovariate(self.requests_per_s))
 
-    def _connect(self, proxy: Proxy) -> ClientConnection:
+    def _draw_chain_work(self, engine: StubEngine) -> None:
+        engine.min_work_by_class[CHAIN_CLASS] = self._chain_rng.uniform(*CHAIN_WORK_S)
+
+    def _connect(self, proxy: Proxy, **options: Any) -> ClientConnection:
         """Return a new connection; raise OSError if the load balancer or the proxy refuses it."""
         if not self.load_balancer.sends_to(proxy):
             raise ConnectionRefusedError("the load balancer sends no new connections to this proxy")
-        return self.harness.connect(proxy)
+        return self.harness.connect(proxy, **options)
 
     def _send(self, connection: ClientConnection, proxy: Proxy, rng: random.Random) -> RequestRecord | None:
         name = rng.choices(("safe", "keyed", "unsafe"), (5, 3, 2))[0]
--- a/faults/settings.py
+++ b/faults/settings.py
@@ -6,6 +6,7 @@
 from typing import Any
 
 SAFE, KEYED, UNSAFE = "retryable", "dedup", "fragile"
+CHAIN_CLASS = "chain"  # keyed queries that follow each other faster than engines answer them
 MAX_COUNTED_DEADLINE_S = 3.0  # deadlines above this many seconds do not extend the time before SIGKILL
 GRACE_AFTER_DEADLINE_S = 0.7  # seconds between the longest counted deadline and SIGKILL
 
@@ -42,6 +43,9 @@
             query_class("safe", SAFE),
             query_class("keyed", KEYED, repeatWindowUs=us(repeat_window_s), sequential=True, keyScope="all"),
             query_class("unsafe", UNSAFE),
+            query_class(
+                CHAIN_CLASS, KEYED, repeatWindowUs=us(repeat_window_s), sequential=True, keyScope="all"
+            ),
         ],
         "bounds": {
             "maxAttempts": 4,
@@ -59,7 +63,7 @@
             "tipMultiple": slow_start_multiple,
             "tipAfterUs": us(slow_start_window_s),
         },
-        "extra": {"kindCores": [8], "sizeMb": [16384], "parallelism": [1, 1, 1]},
+        "extra": {"kindCores": [8], "sizeMb": [16384], "parallelism": [1, 1, 1, 1]},
         "granularityUs": 5_000,
         "loadInfo": {"fields": ["cpu"], "how": "answers"},
     }
--- a/faults/wire.py
+++ b/faults/wire.py
@@ -56,6 +56,11 @@
     def __init__(self) -> None:
         self._data = bytearray()
 
+    @property
+    def has_partial_frame(self) -> bool:
+        """Whether a frame was received in part."""
+        return bool(self._data)
+
     def feed(self, data: bytes) -> list[Frame]:
         """Add received bytes, and return the frames that they complete."""
         self._data += data
