Write an answer at once on a closing connection, whose writer slept for up to 50 ms

What callers saw: after SIGTERM and in a drain, answers were up to 50 ms late, and the next request of their key reached its engine before the client had them.

Cause: once a close had begun, the writer's queue returned when it was empty, and ClientConnection._write slept for OPEN_POLL_S (0.05 s) while requests were open. An answer that was queued in this time waited for the sleep to end.

Change: the queue's run asks whether the write side may be shut whenever nothing waits, and otherwise waits for the event: a new item, or a wake after each read, stage and request to close. No sleep is left between an answer and its write. When it is written and when it is closed stands in one small state machine without I/O, net/connection_closing.py.

--- a/faults/checker.py
+++ b/faults/checker.py
@@ -113,7 +113,7 @@
         The request may have crossed the close of its connection without reaching an engine, or its proxy was
         killed. A kill after SIGTERM excuses only requests sent within GRACE_AFTER_DEADLINE_S after SIGTERM.
         """
-        ended_at = record.connection_ended_at
+        ended_at = record.connection_ended_earliest_at or record.connection_ended_at
         if (
             ended_at is not None
             and record.sent_at > ended_at - CLOSE_RACE_S
--- a/faults/clients.py
+++ b/faults/clients.py
@@ -194,7 +194,7 @@
             self.sock.close()
 
     def _handle_frames(self, frames: list[wire.Frame], reading: Reading, ends_frame: bool) -> None:
-        """Handle the frames that a reading completes. It dates the last one, if that ends with the reading."""
+        """Handle the frames of a reading; it dates the last one, if that ends with the reading."""
         for frame in frames:
             is_dated = ends_frame and frame is frames[-1]
             earliest_at = reading.received_at if is_dated else reading.earliest_at
--- a/hollowhitch/net/client_connection.py
+++ b/hollowhitch/net/client_connection.py
@@ -3,7 +3,6 @@
 from __future__ import annotations
 
 import contextlib
-import enum
 import time
 from typing import Protocol
 
@@ -14,6 +13,7 @@
 from hollowhitch.audit import Audit, Rule
 from hollowhitch.gateway import Answer, Failed, Gateway, Query, Refused, Served
 from hollowhitch.lifecycle import ConnectionActivity, ConnectionStage
+from hollowhitch.net.connection_closing import CloseReason, ConnectionClosing, PendingInput
 from hollowhitch.net.loop_monitor import LoopMonitor
 from hollowhitch.net.receive_times import ArrivalQueue, Received, Receiver, enable_receive_timestamps
 from hollowhitch.net.send_queue import SendQueue
@@ -28,9 +28,6 @@
 FIRST_REQUEST_GRACE_S = 0.25  # seconds after connecting in which a first request is probably in transit
 # Seconds for the client to read the last answers and close, after the write side is shut down.
 LINGER_S = 0.5
-# Seconds between checks whether the write side can be shut down: while bytes are unread, and while requests
-# are open.
-UNREAD_POLL_S, OPEN_POLL_S = 0.01, 0.05
 FRAMES_PER_YIELD = 32  # number of frames of one connection that are handled before other greenlets run
 # Seconds before the next read for each unusable frame that the client has sent so far, and the longest such
 # delay.
@@ -44,18 +41,6 @@
 DISCARD_READ_BYTES, MAX_DISCARD_READS = 65_536, 16
 
 
-class CloseReason(enum.Enum):
-    """Why the proxy closed a client's connection; the values are metric labels."""
-
-    IDLE = "idle"
-    FRAME_TIMEOUT = "no whole frame in time"
-    INVALID_FRAME = "bytes that are no frame"
-    CONNECTION_LIMIT = "no place"
-    DRAIN = "drain"
-    SHUTDOWN = "shutdown"
-    FAULT = "fault"
-
-
 class ConnectionHost(Protocol):
     """The frontend that owns a connection, as the connection uses it."""
 
@@ -86,9 +71,8 @@
 class ClientConnection:
     """A connection that reads requests, submits them in order of arrival, and writes the answers.
 
-    It is closed in two steps. The write side is shut down once no request is open and no byte is unread.
-    Bytes that arrive later were sent before the client noticed, and are discarded. After LINGER_S the socket
-    is closed.
+    `ConnectionClosing` says when the write side is shut down. Bytes that arrive later were sent before the
+    client noticed, and are discarded. After LINGER_S the socket is closed.
     """
 
     def __init__(
@@ -96,13 +80,11 @@
     ) -> None:
         self.host, self.sock = host, sock
         self.protocol = frames.ClientProtocol()
+        self.closing = ConnectionClosing()
         self.send_queue = SendQueue(sock, MAX_QUEUED_BYTES, READ_PAUSE_BYTES)
         self.receiver = Receiver(sock, host.gateway.clock, host.loop_monitor, pending_since_us)
         self.queries: dict[int, Query] = {}  # open queries, by stream
         self.has_sent_closing = False  # the client was asked to send no new requests on this connection
-        self.stage = ConnectionStage.SERVE  # as last decided by the process's lifecycle
-        self.is_write_shut = False
-        self.closed = False
         self.has_received_frame = False  # the client has sent a complete frame
         # Times in monotonic seconds.
         self.opened_at_s = time.monotonic()
@@ -110,7 +92,6 @@
         self.frame_started_at_s = self.opened_at_s  # when the first byte of the current frame was read
         self.last_request_at_s: float | None = None
         self.last_answer_at_s: float | None = None
-        self._close_reason: CloseReason | None = None  # set once the close can no longer be undone
         self.unusable_frame_count = 0
         self._writer: gevent.Greenlet | None = None
 
@@ -133,17 +114,21 @@
 
     # Closing
 
+    @property
+    def closed(self) -> bool:
+        """Whether the socket is closed."""
+        return self.closing.is_closed
+
     @property
     def is_closing(self) -> bool:
         """Whether the write side will be shut down as soon as no request is open."""
-        return self._close_reason is not None or self.stage is not ConnectionStage.SERVE
+        return self.closing.has_begun
 
     def close_when_idle(self, reason: CloseReason) -> None:
         """Shut down the write side as soon as no request is open, then close. This cannot be undone."""
-        if not self.is_closing:
+        if self.closing.request(reason):
             self._record_close(reason)
-        self._close_reason = self._close_reason or reason
-        self.send_queue.finish()
+        self.send_queue.wake()
 
     @property
     def activity(self) -> ConnectionActivity:
@@ -158,14 +143,9 @@
         SERVE undoes earlier decisions of the lifecycle to close the connection. `reason` is recorded when the
         connection begins to close.
         """
-        if stage is not ConnectionStage.SERVE and not self.is_closing:
+        if self.closing.apply_stage(stage):
             self._record_close(reason)
-        self.stage = stage
-        if stage is ConnectionStage.SERVE:
-            if self._close_reason is None:
-                self.send_queue.resume()
-            return
-        self.send_queue.finish()
+        self.send_queue.wake()
         if stage is ConnectionStage.ANSWER_AND_CLOSE:
             self._answer_all()
         elif stage is ConnectionStage.CLOSE_NOW:
@@ -183,7 +163,7 @@
         """Close the connection now, and drop its open requests, because no client waits for them."""
         if self.closed:
             return
-        self.closed = True
+        self.closing.is_closed = True
         for stream, query in list(self.queries.items()):
             self._remove_query(stream)
             self.host.gateway.client_left(query)
@@ -213,7 +193,7 @@
         self.close()
 
     def _shut_write_side(self) -> None:
-        self.is_write_shut = True
+        self.closing.is_write_shut = True
         with contextlib.suppress(OSError):
             self.sock.shutdown(socket.SHUT_WR)
 
@@ -222,7 +202,7 @@
 
         Closing a socket with unread bytes resets the connection, and the client could lose the last answers.
         """
-        if not self.is_write_shut:
+        if not self.closing.is_write_shut:
             return
         with contextlib.suppress(OSError):
             self.sock.settimeout(0.0)
@@ -246,11 +226,7 @@
 
     def _write(self) -> None:
         try:
-            while True:
-                self.send_queue.run()
-                if self.send_queue.closed or (self.is_closing and not self._has_pending_input()):
-                    break
-                gevent.sleep(OPEN_POLL_S if self.protocol.open_streams else UNREAD_POLL_S)
+            self.send_queue.run(self._may_shut_write_side)
             if self.closed:
                 return
             self._shut_write_side()
@@ -259,11 +235,15 @@
             pass
         self.close()
 
-    def _has_pending_input(self) -> bool:
-        """Return whether a request is open, unread or partly read."""
-        if self.protocol.broken:
-            return bool(self.protocol.open_streams)
-        return bool(self.protocol.open_streams or len(self.protocol.buffer) or unread_bytes(self.sock))
+    def _may_shut_write_side(self) -> bool:
+        return self.closing.may_shut_write_side(
+            PendingInput(
+                len(self.protocol.open_streams),
+                len(self.protocol.buffer),
+                unread_bytes(self.sock) if self.is_closing else 0,
+                self.protocol.broken,
+            )
+        )
 
     # Reading
 
@@ -281,7 +261,9 @@
                 continue  # the frontend's sweep closes connections that are silent for too long
             if received.byte_count == 0:
                 return
-            if self.is_write_shut:  # sent before the client noticed the close: the client sends it again
+            if (
+                self.closing.is_write_shut
+            ):  # sent before the client noticed the close: the client sends it again
                 self._throttle(False)
                 continue
             self.last_active_at_s, unusable_before = time.monotonic(), self.unusable_frame_count
@@ -295,6 +277,8 @@
                 if event_count % FRAMES_PER_YIELD == 0:
                     self.receiver.pause()
                     gevent.sleep(0)
+            if self.is_closing:
+                self.send_queue.wake()  # this may have been the last input that its close waited for
             self._throttle(self.unusable_frame_count > unusable_before)
 
     def _read_size(self, free_bytes: int) -> int:
@@ -303,7 +287,7 @@
         With a backlog, one frame is read at once, so that each frame gets its own arrival time. Otherwise all
         free space in the buffer is used.
         """
-        if self.is_write_shut or self.protocol.broken or not self.receiver.has_backlog:
+        if self.closing.is_write_shut or self.protocol.broken or not self.receiver.has_backlog:
             return free_bytes
         return self.protocol.missing_bytes()
 
@@ -327,7 +311,7 @@
 
         `is_unusable` is whether the last read completed an unusable frame.
         """
-        if self.protocol.broken or self.is_write_shut:  # all further input is discarded
+        if self.protocol.broken or self.closing.is_write_shut:  # all further input is discarded
             self.receiver.pause()
             gevent.sleep(DISCARD_INTERVAL_S)
         elif is_unusable:
@@ -344,7 +328,7 @@
 
         A client may be silent for long between requests, but not before its first frame or within a frame.
         """
-        if self.protocol.broken or self.is_write_shut:
+        if self.protocol.broken or self.closing.is_write_shut:
             return None
         if not self.has_received_frame or len(self.protocol.buffer) or self.protocol.bytes_to_skip:
             return CloseReason.FRAME_TIMEOUT if now_s - self.frame_started_at_s > FRAME_TIMEOUT_S else None
@@ -368,7 +352,7 @@
         that a first request may be in transit. None means that the connection must not be closed, because the
         client waits for an answer. `now_s` is in monotonic seconds.
         """
-        if self.is_write_shut or (self.is_closing and not self.protocol.open_streams):
+        if self.closing.is_write_shut or (self.is_closing and not self.protocol.open_streams):
             return 0
         if self.protocol.open_streams or not self.send_queue.idle:
             return None
--- a/hollowhitch/net/frontend.py
+++ b/hollowhitch/net/frontend.py
@@ -13,7 +13,8 @@
 from hollowhitch.config import Config
 from hollowhitch.gateway import Gateway, Refused
 from hollowhitch.lifecycle import ConnectionStage, Lifecycle, State
-from hollowhitch.net.client_connection import ClientConnection, CloseReason
+from hollowhitch.net.client_connection import ClientConnection
+from hollowhitch.net.connection_closing import CloseReason
 from hollowhitch.net.listener import Listener
 from hollowhitch.net.loop_monitor import LoopMonitor
 from hollowhitch.net.receive_times import ArrivalQueue
--- a/hollowhitch/net/send_queue.py
+++ b/hollowhitch/net/send_queue.py
@@ -37,7 +37,6 @@
         self._items: deque[tuple[Item, int]] = deque()
         self._wake, self._below_threshold = Event(), Event()
         self._below_threshold.set()
-        self._is_finishing = False
         self.idle = True  # nothing is waiting and nothing is being written
 
     @property
@@ -72,15 +71,10 @@
         """
         self._below_threshold.wait()
 
-    def finish(self) -> None:
-        """Let `run` return as soon as nothing is waiting."""
-        self._is_finishing = True
+    def wake(self) -> None:
+        """Let `run` ask again whether it may finish."""
         self._wake.set()
 
-    def resume(self) -> None:
-        """Undo `finish`."""
-        self._is_finishing = False
-
     def close(self) -> None:
         """Drop the waiting items, and let `run` return."""
         self.closed = True
@@ -89,12 +83,15 @@
         self._below_threshold.set()
         self._wake.set()
 
-    def run(self) -> None:
-        """Write until the queue is closed, or is empty after `finish`. Raise OSError if a write fails."""
+    def run(self, may_finish: Callable[[], bool] = lambda: False) -> None:
+        """Write until the queue is closed, or is empty and may finish. Raise OSError if a write fails.
+
+        `may_finish` is asked whenever nothing is waiting; call `wake` after each change of its result.
+        """
         while not self.closed:
             if not self._items:
                 self.idle = True
-                if self._is_finishing:
+                if may_finish():
                     return
                 self._wake.clear()
                 self._wake.wait()
