Start the next query of a key only when the answer before it has been taken by the kernel

Cause: the controller started the next query of a key in the event that ended the attempt before it. The answer was only queued then, and nothing tied the one to the other.

Change: the order of a key has one owner, policy/key_order.py, held by the controller: a query is over when it is closed, no attempt is in flight and its answer is delivered. The send queue tells when the kernel has taken an answer's last byte, or that it was dropped; the gateway passes that on as AnswerDelivered, also when the client cancels or leaves, and at the latest when the client's own time is up. Queries without a key cost nothing more. Behind the simulator's pipe an answer counts as delivered when it is given, as before.

--- a/hollowhitch/gateway.py
+++ b/hollowhitch/gateway.py
@@ -74,8 +74,12 @@
     statement: bytes
     send_answer: Callable[[Answer], None]
     expires_at_us: int = 0
+    client_gives_up_at_us: int = 0  # when the client stops waiting, a little after `expires_at_us`
     received_at_us: int = 0
     finished: bool = False  # it was answered, or its client no longer waits
+    # Whether the controller has still to be told that the answer has left the process.
+    awaits_delivery: bool = False
+    delivery_timeout: Timer | None = None
     attempts: list[Attempt] = field(default_factory=list)
     memory_grant_mb: float = 0.0  # 0: the engine chooses
     watchdog: Timer | None = None
@@ -164,7 +168,11 @@
             received_at_us + allowed_us - min(ANSWER_MARGIN_US, int(allowed_us * ANSWER_MARGIN_SHARE))
         )
         remaining_us = max(0, query.expires_at_us - self.clock.now_us())
-        query.arrival = dataclasses.replace(query.arrival, id=query_id, expires_in_us=remaining_us)
+        query.awaits_delivery = query.arrival.key is not None
+        query.arrival = dataclasses.replace(
+            query.arrival, id=query_id, expires_in_us=remaining_us, awaits_delivery=query.awaits_delivery
+        )
+        query.client_gives_up_at_us = received_at_us + allowed_us
         query.received_at_us = received_at_us
         self.queries[query_id] = query
         self.unanswered_count += 1
@@ -179,6 +187,20 @@
             self.metrics.answers.add("client_left")
             self._finish(query)
             self.post(api.ClientLeft(query.arrival.id))
+            self.answer_delivered(query)
+
+    def answer_delivered(self, query: Query) -> None:
+        """Note that the kernel has taken the query's answer, or that nobody waits for it any more.
+
+        Only the first call for a query has an effect.
+        """
+        if not query.awaits_delivery:
+            return
+        query.awaits_delivery = False
+        if query.delivery_timeout is not None:
+            query.delivery_timeout.cancel()
+            query.delivery_timeout = None
+        self.post(api.AnswerDelivered(query.arrival.id))
 
     def begin_shutdown(self, ends_in_us: int) -> None:
         """Tell the controller that the process shuts down, and can serve queries for `ends_in_us` more."""
@@ -403,6 +425,10 @@
             code = type(answer).__name__.lower()
             log.event("late", "query answered late", ref=query.ref, answer=code, late_ms=late_us // 1000)
         self._finish(query)
+        if query.awaits_delivery:
+            # A client that does not read delays its key until it stops waiting, but no longer.
+            delay_s = max(0, query.client_gives_up_at_us - self.clock.now_us()) / 1e6
+            query.delivery_timeout = self._call_later(delay_s, lambda: self.answer_delivered(query))
         query.send_answer(answer)
 
     def _finish(self, query: Query) -> None:
--- a/hollowhitch/net/client_connection.py
+++ b/hollowhitch/net/client_connection.py
@@ -4,6 +4,7 @@
 
 import contextlib
 import time
+from collections.abc import Callable
 from typing import Protocol
 
 import gevent
@@ -84,6 +85,8 @@
         self.send_queue = SendQueue(sock, MAX_QUEUED_BYTES, READ_PAUSE_BYTES)
         self.receiver = Receiver(sock, host.gateway.clock, host.loop_monitor, pending_since_us)
         self.queries: dict[int, Query] = {}  # open queries, by stream
+        # Queries with an order key whose answers the kernel has not taken yet, by stream.
+        self._untaken_answers: dict[int, Query] = {}
         self.has_sent_closing = False  # the client was asked to send no new requests on this connection
         self.has_received_frame = False  # the client has sent a complete frame
         # Times in monotonic seconds.
@@ -375,6 +378,7 @@
                 self.protocol.close_stream(event.stream)
                 if query is not None:
                     self.host.gateway.client_left(query)
+                self._answer_taken(event.stream)
                 self._close_if_answered()
             case frames.ReadinessCheck():
                 code = frames.IS_READY if self.host.ready() else frames.NOT_READY
@@ -434,7 +438,7 @@
 
     def _answer(self, stream: int, answer: Answer) -> None:
         """Queue the answer, unless the request on the stream has been answered or cancelled."""
-        self._remove_query(stream)
+        query = self._remove_query(stream)
         if stream not in self.protocol.open_streams:
             return
         self.protocol.close_stream(stream)
@@ -448,9 +452,21 @@
                 frame = frames.format_answer(stream, frames.REFUSED, fields)
             case _:
                 frame = frames.format_answer(stream, frames.FAILED, {})
-        self.send_queue.put(frame)
+        self.send_queue.put(frame, on_taken=self._on_answer_taken(stream, query))
         self._close_if_answered()
 
+    def _on_answer_taken(self, stream: int, query: Query | None) -> Callable[[], None] | None:
+        """Return the call for when the kernel has taken the answer; None if nothing depends on it."""
+        if query is None or not query.awaits_delivery:
+            return None
+        self._untaken_answers[stream] = query
+        return lambda: self._answer_taken(stream)
+
+    def _answer_taken(self, stream: int) -> None:
+        query = self._untaken_answers.pop(stream, None)
+        if query is not None:
+            self.host.gateway.answer_delivered(query)
+
     def _remove_query(self, stream: int) -> Query | None:
         query = self.queries.pop(stream, None)
         if query is not None:
--- a/hollowhitch/net/send_queue.py
+++ b/hollowhitch/net/send_queue.py
@@ -11,6 +11,7 @@
 from hollowhitch.net.system_call_errors import SystemCall, retry_transient
 
 Item = bytes | Callable[[], bytes]  # a callable returns its bytes just before they are written
+OnTaken = Callable[[], None]
 
 WRITE_CHUNK_BYTES = 65_536  # bytes gathered for one write
 
@@ -34,7 +35,9 @@
         self.closed = False
         self._sock, self._max_bytes, self._pause_threshold = sock, max_bytes, pause_threshold or max_bytes
         self._before_write = before_write
-        self._items: deque[tuple[Item, int]] = deque()
+        self._items: deque[tuple[Item, int, OnTaken | None]] = deque()
+        # For the chunk being written: calls to make once the kernel has taken so many of its bytes.
+        self._taken_calls: deque[tuple[int, OnTaken]] = deque()
         self._wake, self._below_threshold = Event(), Event()
         self._below_threshold.set()
         self.idle = True  # nothing is waiting and nothing is being written
@@ -49,15 +52,18 @@
         """Whether more bytes than the pause threshold are waiting, so that the owner should stop reading."""
         return self.size > self._pause_threshold
 
-    def put(self, item: Item, size: int | None = None) -> None:
+    def put(self, item: Item, size: int | None = None, on_taken: OnTaken | None = None) -> None:
         """Append an item, unless the queue is closed.
 
-        `size` is the estimated size in bytes of an item given as a callable.
+        `size` is the estimated size in bytes of an item given as a callable. `on_taken` is called once the
+        kernel has taken the item's bytes, or once they are dropped because the queue is closed.
         """
         if self.closed:
+            if on_taken is not None:
+                on_taken()
             return
         size = len(item) if isinstance(item, bytes) else size or 0
-        self._items.append((item, size))
+        self._items.append((item, size, on_taken))
         self.size += size
         self.idle = False
         if self.above_threshold:
@@ -78,10 +84,15 @@
     def close(self) -> None:
         """Drop the waiting items, and let `run` return."""
         self.closed = True
+        dropped_calls = [on_taken for _, on_taken in self._taken_calls]
+        dropped_calls += [on_taken for _, _, on_taken in self._items if on_taken is not None]
+        self._taken_calls.clear()
         self._items.clear()
         self.size = 0
         self._below_threshold.set()
         self._wake.set()
+        for on_taken in dropped_calls:
+            on_taken()
 
     def run(self, may_finish: Callable[[], bool] = lambda: False) -> None:
         """Write until the queue is closed, or is empty and may finish. Raise OSError if a write fails.
@@ -101,9 +112,11 @@
             chunk = bytearray()
             size = 0
             while self._items and len(chunk) < WRITE_CHUNK_BYTES:
-                item, item_size = self._items.popleft()
+                item, item_size, on_taken = self._items.popleft()
                 chunk += item if isinstance(item, bytes) else item()
                 size += item_size
+                if on_taken is not None:
+                    self._taken_calls.append((len(chunk), on_taken))
             if chunk:
                 self._send(chunk)
             self.size = max(0, self.size - size)
@@ -116,3 +129,5 @@
         with memoryview(chunk) as view:
             while sent_bytes < len(view):
                 sent_bytes += retry_transient(SystemCall.SEND, self._sock.send, view[sent_bytes:])
+                while self._taken_calls and self._taken_calls[0][0] <= sent_bytes:
+                    self._taken_calls.popleft()[1]()
--- a/hollowhitch/policy/holding.py
+++ b/hollowhitch/policy/holding.py
@@ -30,7 +30,7 @@
             possible_run_engine and possible_run_engine.cell,
         )
         older_query = self.held_queries.head(group)  # a similar query that was not admitted either
-        is_next = self.key_queues.is_next(query, self.now_us)
+        is_next = self.key_order.may_start(query.id, self.now_us)
         if older_query is None and is_next and self._try_send(query):
             return
         # The expected latency over the best latency.
--- a/hollowhitch/policy/interface.py
+++ b/hollowhitch/policy/interface.py
@@ -296,6 +296,8 @@
     memory_mb: float  # the client's estimate of the memory; 0: no estimate
     data_set: int
     is_retry: bool  # the client has sent the query before
+    # Whether an `AnswerDelivered` will follow; if not, the answer counts as delivered when it is given.
+    awaits_delivery: bool = False
 
 
 @dataclass(frozen=True, slots=True)
@@ -345,6 +347,13 @@
     ends_in_us: int
 
 
+@dataclass(frozen=True, slots=True)
+class AnswerDelivered:
+    """A query's answer has left the process, or nobody waits for it any more."""
+
+    id: str
+
+
 @dataclass(frozen=True, slots=True)
 class GiveUp:
     """A query needs its final answer now, since the gateway shuts down or the client can't be reached."""
@@ -383,6 +392,7 @@
     | StreamBegan
     | Note
     | AttemptEnded
+    | AnswerDelivered
     | ClientLeft
     | Closing
     | GiveUp
--- a/hollowhitch/policy/queues.py
+++ b/hollowhitch/policy/queues.py
@@ -1,4 +1,4 @@
-"""Queues of waiting queries: held queries by worth and by age, and queries of one order key."""
+"""Queues of the held queries, by worth and by age."""
 
 from __future__ import annotations
 
@@ -88,44 +88,3 @@
                     heapq.heapreplace(heads, (head.arrived_at_us, n, group))
                     continue
             heapq.heappop(heads)
-
-
-class KeyQueues:
-    """Queries of each order key, in the order of arrival.
-
-    A query stays in its queue until its last attempt has ended. `delayed_until_us` is the time, by order key,
-    until which no query of the key may start.
-    """
-
-    def __init__(self) -> None:
-        self.queues: dict[int, deque[Query]] = {}
-        self.delayed_until_us: dict[int, int] = {}
-
-    def add(self, query: Query) -> None:
-        """Append a query to its key's queue, if it has an order key."""
-        if query.order_key is not None:
-            self.queues.setdefault(query.order_key, deque()).append(query)
-
-    def first(self, key: int) -> Query | None:
-        """Return the query at the head of a key's queue, or None."""
-        queue = self.queues.get(key)
-        return queue[0] if queue else None
-
-    def is_next(self, query: Query, now_us: int) -> bool:
-        """Return whether the order of a query's key permits sending the query.
-
-        The query must be at the head of its queue. Its first attempt must also wait for the key's delay.
-        """
-        if query.order_key is None:
-            return True
-        return self.first(query.order_key) is query and (
-            bool(query.attempts) or now_us >= self.delayed_until_us.get(query.order_key, 0)
-        )
-
-    def remove(self, query: Query) -> None:
-        """Remove a query from its key's queue, if it is in one."""
-        queue = self.queues.get(query.order_key) if query.order_key is not None else None
-        if queue and query in queue:
-            queue.remove(query)
-            if not queue:
-                del self.queues[query.order_key]
--- a/hollowhitch/policy/state.py
+++ b/hollowhitch/policy/state.py
@@ -20,7 +20,8 @@
 
 from hollowhitch.policy import interface as api
 from hollowhitch.policy.containers import EqualSumBins, RollingSum, Schedule, TokenBucket
-from hollowhitch.policy.queues import HeldQueries, KeyQueues
+from hollowhitch.policy.key_order import KeyOrder
+from hollowhitch.policy.queues import HeldQueries
 from hollowhitch.policy.records import Attempt, EngineRecord, HoldSendRates, Query
 
 # Longest delay of one timer in microseconds (one hour), since the caller limits the delay too. A longer wait
@@ -49,7 +50,7 @@
         # Engines open to each class, by class index; the dicts serve as ordered sets.
         self.engines_for_class: list[dict[EngineRecord, None]] = [{} for _ in settings.classes]
         self.queries: dict[str, Query] = {}
-        self.held_queries, self.key_queues, self.schedule = HeldQueries(), KeyQueues(), Schedule()
+        self.held_queries, self.key_order, self.schedule = HeldQueries(), KeyOrder(), Schedule()
         self.arrivals, self.retries = (RollingSum(settings.rules.retry_budget_window_us) for _ in range(2))
         self.cost_bins, self.memory_bins = (
             EqualSumBins(bin_sample_size, bin_update_interval),
@@ -94,6 +95,7 @@
             api.GiveUp: self._handle_give_up,
             api.QueryArrived: self._handle_query_arrived,
             api.AttemptEnded: self._handle_attempt_ended,
+            api.AnswerDelivered: self._handle_answer_delivered,
             api.Note: self._handle_note,
             api.ProbeEnded: self._handle_probe_ended,
             api.EngineList: self._handle_engine_list,
@@ -191,7 +193,7 @@
         )
         return at_any_time or (
             not stale
-            and self.key_queues.is_next(query, self.now_us)
+            and self.key_order.may_start(query.id, self.now_us)
             and (not query.attempts or self.has_retry_budget())
         )
 
@@ -239,7 +241,7 @@
             event, class_index, self.settings.classes[class_index], self.now_us
         )
         self.arrivals.add(self.now_us)
-        self.key_queues.add(query)
+        self.key_order.query_arrived(query.id, query.order_key, event.awaits_delivery)
         self.on_arrival(query, event)
 
     def _handle_attempt_ended(self, event: api.AttemptEnded) -> None:
@@ -251,8 +253,10 @@
             max(0.0, self.cluster_slots - attempt.cluster_charge) if len(self.queries) > 1 else 0.0
         )
         query.first_possible_run = query.first_possible_run or (None if event.outcome.never_ran else attempt)
-        if query.order_key is not None and event.outcome.may_still_run:
-            self.key_queues.delayed_until_us[query.order_key] = self.now_us + self.settings.rules.key_delay_us
+        may_run_until_us = (
+            self.now_us + self.settings.rules.key_delay_us if event.outcome.may_still_run else None
+        )
+        self.key_order.attempt_ended(query.id, may_run_until_us)
         attempt.engine.attempt_ended(query, attempt)
         self.on_attempt_ended(query, attempt, event)
         if event.outcome not in (api.Outcome.TIMEOUT, api.Outcome.CANCELLED, api.Outcome.NEVER_SENT):
@@ -307,6 +311,7 @@
         self.cluster_rates.send_count += 1
         if query.attempts:
             self.retries.add(self.now_us)
+        self.key_order.attempt_sent(query.id)
         attempt.engine.attempt_sent(query, attempt, query.slow_start_work_us)
         return attempt
 
@@ -330,6 +335,7 @@
     def close_query(self, query: Query) -> None:
         """Mark a query as answered, and cancel its attempts in flight: nobody waits for them any more."""
         query.closed = True
+        self.key_order.query_closed(query.id)
         self.held_queries.remove(query)
         for attempt in query.attempts_in_flight():
             self.cancel_attempt(query, attempt)
@@ -363,6 +369,11 @@
         if event.id in self.queries:
             self.close_query(self.queries[event.id])
 
+    def _handle_answer_delivered(self, event: api.AnswerDelivered) -> None:
+        key = self.key_order.key_of(event.id)
+        if self.key_order.answer_delivered(event.id):
+            self.schedule_next_of_key(key)
+
     def _handle_closing(self, event: api.Closing) -> None:
         """Refuse the held queries that can't be done in time, while their clients can still ask elsewhere."""
         self.closes_at_us = self.now_us + event.ends_in_us
@@ -397,26 +408,22 @@
         """Drop a closed query without attempts in flight, and schedule the next query of its order key."""
         if query.closed and not query.attempts_in_flight():
             self.queries.pop(query.id, None)
-            self.key_queues.remove(query)
             self.schedule_next_of_key(query.order_key)
 
     def schedule_next_of_key(self, key: int | None) -> None:
         """Schedule the placement of the first query of an order key, for when the key's delay is over."""
         if key is not None:
-            self.schedule.add(
-                max(self.now_us, self.key_queues.delayed_until_us.get(key, 0)), self._place_next_of_key, key
-            )
+            self.schedule.add(self.key_order.next_start_us(key, self.now_us), self._place_next_of_key, key)
 
     def _place_next_of_key(self, key: int) -> None:
         """Place the held query that is next of an order key, or forget the key's delay if that is over."""
-        query = self.key_queues.first(key)
-        if query is None and self.now_us >= self.key_queues.delayed_until_us.get(key, 0):
-            self.key_queues.delayed_until_us.pop(key, None)
+        self.key_order.forget_delay(key, self.now_us)
+        query = self.queries.get(self.key_order.next_query_id(key) or "")
         if (
             query is not None
             and query.held
             and not query.attempts
-            and self.key_queues.is_next(query, self.now_us)
+            and self.key_order.may_start(query.id, self.now_us)
         ):
             self.held_queries.remove(query)
             self.place_or_hold(query)
--- a/tests/test_gateway.py
+++ b/tests/test_gateway.py
@@ -215,4 +215,26 @@
     first, _ = fixture.submit(), fixture.submit()
     assert len(fixture.backend.started) == 1
     fixture.gateway.attempt_ended(fixture.backend.started[0], Outcome.OK, None, b"one")
-    assert first.finished and len(fixture.backend.started) == 2
+    assert first.finished and len(fixture.backend.started) == 1
+    fixture.gateway.answer_delivered(first)
+    fixture.gateway.answer_delivered(first)
+    assert len(fixture.backend.started) == 2
+
+
+def test_an_answer_that_is_never_delivered_delays_its_key_only_until_the_client_gives_up():
+    fixture = GatewayFixture(make_query_class("q", retry_safety=api.RetrySafety.DEDUPLICATED, in_order=True))
+    fixture.submit(), fixture.submit()
+    fixture.gateway.attempt_ended(fixture.backend.started[0], Outcome.OK, None, b"one")
+    timeouts = [t for t in fixture.timers if 5.95 < t.delay_s <= 6.0]
+    assert timeouts and len(fixture.backend.started) == 1
+    for timeout in timeouts:
+        timeout.callback()
+    assert len(fixture.backend.started) == 2
+
+
+def test_a_client_that_leaves_before_its_answer_is_taken_does_not_delay_its_key():
+    fixture = GatewayFixture(make_query_class("q", retry_safety=api.RetrySafety.DEDUPLICATED, in_order=True))
+    first, _ = fixture.submit(), fixture.submit()
+    fixture.gateway.client_left(first)
+    fixture.run_timers(0.01)
+    assert fixture.gateway.controller.key_order.next_query_id(7) == "q2"
--- a/tests/test_properties.py
+++ b/tests/test_properties.py
@@ -190,8 +190,8 @@
     controller = driver.controller
     containers = [
         controller.queries,
-        controller.key_queues.queues,
-        controller.key_queues.delayed_until_us,
+        controller.key_order.queues,
+        controller.key_order.delayed_until_us,
         controller.arrivals.entries,
         controller.retries.entries,
         controller.held_queries.queues,
@@ -204,7 +204,7 @@
     assert (
         all(len(entries) < 300 for entries in containers)
         and not controller.queries
-        and not controller.key_queues.delayed_until_us
+        and not controller.key_order.delayed_until_us
     )
     assert (
         max(len(controller.held_queries.by_worth), len(controller.schedule.heap), len(controller.partitions))
