Start nothing in a shutdown that its estimate says cannot be finished

Cause: whether a query outlasts the shutdown was asked on its arrival and when the shutdown began, not when it was sent. A query that waited for its key, or for an engine, was sent however little time was left.

Change: the question is asked again before a query is placed, and a held query is refused at the moment from which it cannot be done any more, while its client can still ask elsewhere. The time it takes is its estimate over its threads, as before.

Two of the three new tests in tests/test_key_order.py failed before (the third shows that what fits is still served). tests/test_rules.py passed.

--- a/hollowhitch/policy/holding.py
+++ b/hollowhitch/policy/holding.py
@@ -15,6 +15,8 @@
 
     def place_or_hold(self, query: Query) -> None:
         """Send a query if possible, else hold it, or end it if it cannot meet its target."""
+        if self.would_outlast_shutdown(query):
+            return self.end_unserved(query, EndReason.CLOSING)
         lockable_data_set = (
             query.data_set
             if query.query_class.is_bulk_load or query.query_class.waits_for_bulk_loads
@@ -53,6 +55,9 @@
             )
         self.schedule.add(max(latest_start_at_us, self.now_us + 1), self._check_deadlines, query)
         self.held_queries.add(group, query, query.query_class.worth / max(query.work_us, 1), is_next=is_next)
+        self.check_shutdown(query)
+        if query.closed:
+            return
         if not is_next:
             self.schedule_next_of_key(query.order_key)
         elif self.engines_for_class[query.class_index]:
--- a/hollowhitch/policy/state.py
+++ b/hollowhitch/policy/state.py
@@ -378,8 +378,21 @@
         """Refuse the held queries that can't be done in time, while their clients can still ask elsewhere."""
         self.closes_at_us = self.now_us + event.ends_in_us
         for query in list(self.queries.values()):
-            if query.held and self.would_outlast_shutdown(query):
-                self.end_unserved(query, api.EndReason.CLOSING)
+            if query.held:
+                self.check_shutdown(query)
+
+    def check_shutdown(self, query: Query) -> None:
+        """Refuse a held query once it can't be done before the gateway shuts down.
+
+        Does nothing before the shutdown begins; from then on, the query is checked again when its time is up.
+        """
+        if math.isinf(self.closes_at_us) or not query.held or query.closed:
+            return
+        if self.would_outlast_shutdown(query):
+            return self.end_unserved(query, api.EndReason.CLOSING)
+        latest_start_at_us = math.floor(self.closes_at_us - query.work_us / query.query_class.threads)
+        if latest_start_at_us > self.now_us:
+            self.schedule.add(latest_start_at_us, self.check_shutdown, query)
 
     def would_outlast_shutdown(self, query: Query) -> bool:
         """Return whether a query may be refused and can't be done before the gateway shuts down."""
--- a/tests/test_key_order.py
+++ b/tests/test_key_order.py
@@ -162,3 +162,33 @@
     fixture.driver.end_attempt("a", api.Outcome.OK)
     assert sent_ids(fixture.deliver("a")) == []
     assert sent_ids(fixture.deliver("b")) == ["c"]
+
+
+def test_a_stopping_process_starts_no_query_of_a_key_that_it_cannot_finish():
+    fixture = KeyFixture()
+    fixture.submit("a")
+    fixture.submit("b", cost_us=600_000)
+    fixture.driver.handle(api.Closing(SECOND_US))
+    fixture.driver.now_us += 500_000
+    actions = fixture.driver.end_attempt("a", api.Outcome.OK) + fixture.deliver("a")
+    assert sent_ids(actions) == []
+    assert [(a.id, a.reason) for a in of_type(api.Refuse, actions)] == [("b", api.EndReason.CLOSING)]
+
+
+def test_a_stopping_process_refuses_a_held_query_as_soon_as_it_cannot_finish_it():
+    fixture = KeyFixture()
+    fixture.submit("a")
+    fixture.submit("b", cost_us=600_000)
+    fixture.driver.handle(api.Closing(SECOND_US))
+    assert of_type(api.Refuse, fixture.driver.advance(390_000)) == []
+    assert [a.id for a in of_type(api.Refuse, fixture.driver.advance(20_000))] == ["b"]
+
+
+def test_a_stopping_process_still_serves_what_it_can_finish():
+    fixture = KeyFixture()
+    fixture.submit("a")
+    fixture.submit("b", cost_us=300_000)
+    fixture.driver.handle(api.Closing(SECOND_US))
+    fixture.driver.now_us += 500_000
+    fixture.driver.end_attempt("a", api.Outcome.OK)
+    assert sent_ids(fixture.deliver("a")) == ["b"]
