Apply the lifecycle to all connections, also behind one that raises an exception

Cause: enforce_lifecycle stopped at the first exception, so the connections behind it missed their stage in this pass and in every later one; a drain or shutdown could outlast its limit by that. Change: each connection is on its own, and the exception is logged. test_a_failure_at_one_connection_does_not_delay_the_close_of_the_others raises the exception on the code before.

--- a/hollowhitch/net/frontend.py
+++ b/hollowhitch/net/frontend.py
@@ -42,6 +42,8 @@
         self.connections: set[ClientConnection] = set()
         self.statement_bytes = 0  # size of the statements of the open requests
         self._leave_requested = Event()  # set while the lifecycle asks clients to leave
+        self._all_closed = Event()  # set while there is no connection
+        self._all_closed.set()
         self._listener = Listener(config.listen, self._serve, gateway.metrics, gateway.clock)
 
     def start(self) -> None:
@@ -62,6 +64,7 @@
             return
         connection = ClientConnection(self, sock, pending_since_us)
         self.connections.add(connection)
+        self._all_closed.clear()
         if self.lifecycle.asks_clients_to_leave:
             connection.send_closing()
         connection.run()
@@ -69,6 +72,12 @@
     def connection_closed(self, connection: ClientConnection) -> None:
         """Forget a connection that is closed."""
         self.connections.discard(connection)
+        if not self.connections:
+            self._all_closed.set()
+
+    def wait_until_all_closed(self, timeout_s: float) -> None:
+        """Block until there is no client connection, but at most for `timeout_s`."""
+        self._all_closed.wait(max(timeout_s, 0.0))
 
     def _sweep_forever(self) -> None:
         while True:
@@ -155,24 +164,29 @@
     def _enforce_forever(self) -> None:
         while True:
             self._leave_requested.wait()
-            try:
-                self.enforce_lifecycle()
-            except Exception as e:  # a failure at one connection must not end this greenlet
-                log.event("fault", "closing client connections failed", error=repr(e))
+            self.enforce_lifecycle()
             gevent.sleep(ENFORCE_INTERVAL_S)
 
     def enforce_lifecycle(self) -> None:
         """Apply the lifecycle's decision to each connection, and record violations of the drain limit."""
         now_s, violation_count = time.monotonic(), 0
-        is_draining = self.lifecycle.state is State.DRAINING
-        reason = CloseReason.DRAIN if is_draining else CloseReason.SHUTDOWN
         for connection in list(self.connections):
-            activity = connection.activity
-            violation_count += self.lifecycle.violates_drain_limit(activity, now_s)
-            connection.apply_stage(self.lifecycle.connection_stage(activity, now_s), reason)
+            try:
+                violation_count += self._enforce_on(connection, now_s)
+            except Exception as e:  # a failure at one connection must not delay the others
+                log.event("fault", "closing a client connection failed", error=repr(e))
         if violation_count:
             self.audit.record_violation(Rule.HELD_WHILE_DRAINED, connections=violation_count)
 
+    def _enforce_on(self, connection: ClientConnection, now_s: float) -> bool:
+        """Apply the lifecycle's decision to one connection; return whether it violated the drain limit."""
+        activity = connection.activity
+        violates_limit = self.lifecycle.violates_drain_limit(activity, now_s)
+        is_draining = self.lifecycle.state is State.DRAINING
+        reason = CloseReason.DRAIN if is_draining else CloseReason.SHUTDOWN
+        connection.apply_stage(self.lifecycle.connection_stage(activity, now_s), reason)
+        return violates_limit
+
     def stop_accepting(self) -> None:
         """Accept the connections that are already waiting, and no more."""
         self._listener.close()
--- a/tests/test_proxy.py
+++ b/tests/test_proxy.py
@@ -577,6 +577,24 @@
     assert busy_client.read_frame() is None
 
 
+def test_a_failure_at_one_connection_does_not_delay_the_close_of_the_others(start_proxy, monkeypatch):
+    monkeypatch.setattr(program, "plan_shutdown", lambda classes: ShutdownPlan(0.05, 5.0, 5.1))
+    proxy, _ = start_proxy(answer_rows)
+    clients = [Client(proxy) for _ in range(6)]
+    while len(proxy.frontend.connections) < len(clients):
+        gevent.sleep(0.001)
+
+    def fail(*_: object) -> None:
+        raise RuntimeError("a bug")
+
+    failing, *others = proxy.frontend.connections
+    monkeypatch.setattr(failing, "apply_stage", fail)
+    proxy.stop()
+    gevent.sleep(0.06)
+    proxy.frontend.enforce_lifecycle()
+    assert all(connection.is_closing for connection in others)
+
+
 def test_a_client_that_reads_nothing_does_not_keep_the_proxy_from_exiting(start_proxy, monkeypatch):
     monkeypatch.setattr(program, "plan_shutdown", lambda classes: ShutdownPlan(0.05, 0.1, 0.15))
     proxy, _ = start_proxy(answer_rows)
