--- a/hollowhitch/__main__.py
+++ b/hollowhitch/__main__.py
@@ -15,7 +15,7 @@
 import resource
 import sys
 import time
-from collections.abc import Callable, Mapping
+from collections.abc import Mapping
 
 import gevent
 from gevent.event import Event
@@ -41,7 +41,8 @@
 from hollowhitch.protocol.channel import Command
 from hollowhitch.shutdown import plan_shutdown
 
-POLL_INTERVAL_S = 0.02  # interval of the checks whether a stage of the shutdown is over
+# Seconds that the greenlets of the connections accepted last get to start, before their number is looked at.
+LAST_ACCEPTED_START_S = 0.02
 # Fields of `Config` that a reload applies, and fields that differ in every file, so that a reload does not
 # report them as changed.
 RELOADED_FIELDS, UNCOMPARED_FIELDS = ("channel",), ("known", "cursor", "seed", "unread")
@@ -223,14 +224,14 @@
         if self.lifecycle.state is not State.STOPPING:
             self.stop()
         self.gateway.begin_shutdown(int(self.lifecycle.serving_time_after_stop_s * US_PER_S))
-        self._wait_until(lambda now_s: not self.lifecycle.accepts_connections(now_s))
+        gevent.sleep(max(self.lifecycle.accepts_until_s - time.monotonic(), 0.0))
         self._log_stage("stopped accepting connections and requests", started_at_s)
         self.frontend.stop_accepting()
-        gevent.sleep(POLL_INTERVAL_S)  # gives the greenlets of the connections accepted last time to start
-        self._wait_until(lambda now_s: self.lifecycle.must_answer_all(now_s) or not self.frontend.connections)
+        gevent.sleep(LAST_ACCEPTED_START_S)
+        self.frontend.wait_until_all_closed(self.lifecycle.answers_by_s - time.monotonic())
         self._log_stage("terminating open requests", started_at_s)
         self.gateway.terminate_all_queries()
-        self._wait_until(lambda now_s: self.lifecycle.must_exit(now_s) or not self.frontend.connections)
+        self.frontend.wait_until_all_closed(self.lifecycle.exits_by_s - time.monotonic())
         self._log_stage("all connections closed or time is up", started_at_s)
         if self.gateway.unanswered_count:
             self.audit.record_violation(Rule.OPEN_AT_EXIT, open=self.gateway.unanswered_count)
@@ -240,11 +241,6 @@
         self._change_state(LifecycleEvent.EXITED)
         self.write_metrics()
 
-    def _wait_until(self, is_due: Callable[[float], bool]) -> None:
-        """Block until `is_due` returns true for the current time in monotonic seconds."""
-        while not is_due(time.monotonic()):
-            gevent.sleep(POLL_INTERVAL_S)
-
     def _log_stage(self, stage: str, started_at_s: float) -> None:
         log.event(
             "shutdown",
--- a/hollowhitch/lifecycle.py
+++ b/hollowhitch/lifecycle.py
@@ -13,6 +13,7 @@
 from __future__ import annotations
 
 import enum
+import math
 from dataclasses import dataclass
 
 from hollowhitch.shutdown import ShutdownPlan
@@ -193,6 +194,24 @@
         """Return whether the process must close all connections and exit now."""
         return self.state is State.STOPPING and self._stopping_for_s(now_s) >= self._shutdown.exit_by_s
 
+    @property
+    def accepts_until_s(self) -> float:
+        """Monotonic time at which a stopping process stops to accept connections and requests."""
+        return self._stage_end_s(self._shutdown.accept_until_s)
+
+    @property
+    def answers_by_s(self) -> float:
+        """Monotonic time at which a stopping process gives every open request its final answer."""
+        return self._stage_end_s(self._shutdown.answer_by_s)
+
+    @property
+    def exits_by_s(self) -> float:
+        """Monotonic time at which a stopping process closes all connections and exits."""
+        return self._stage_end_s(self._shutdown.exit_by_s)
+
+    def _stage_end_s(self, after_stop_s: float) -> float:
+        return math.inf if self._stopped_at_s is None else self._stopped_at_s + after_stop_s
+
     @property
     def serving_time_after_stop_s(self) -> float:
         """Seconds after the signal to stop for which requests can still be served."""
