Report how long answers take to their clients by stage, and test the checker at its limits

The soak prints the time from an engine's last byte to the client's receipt for each stage of the proxy (hdrhistogram), and the largest error of the dates. The checker's tests have a record just outside and just inside of what the dates can tell, for order, duplicate, deadline and lost. tests/test_fault_checker.py and test_known_failures.py passed.

--- a/faults/report.py
+++ b/faults/report.py
@@ -10,6 +10,7 @@
 
 from hdrh.histogram import HdrHistogram
 
+from faults.delays import describe_answer_delays, encode_answer_delays
 from faults.records import AnswerCode, RuleViolation, RunRecord
 
 CONTEXT_BEFORE_S = 2.0  # a violation is reported with the faults of this many seconds before it
@@ -41,6 +42,8 @@
     orders: int  # number of orders that were answered
     stall_ms: int  # longest stall of the harness's own event loop
     breaks: list[dict[str, object]] = field(default_factory=list)  # the rule violations
+    answer_delays: dict[str, str] = field(default_factory=dict)  # encoded histograms by stage, see `delays`
+    dating_error_us: float = 0.0  # largest error of the dates that the kernel gave
     error: str = ""
 
     def verdict(self, known_issues: KnownIssues) -> Verdict:
@@ -72,6 +75,8 @@
         orders=sum(order.answered_at is not None for order in run.orders),
         stall_ms=round(1000 * max((delay_s for _, delay_s in run.stalls), default=0.0)),
         breaks=[_describe(violation, run, started_at) for violation in violations],
+        answer_delays=encode_answer_delays(run),
+        dating_error_us=round(run.dating_error_s * 1e6, 1),
     )
 
 
@@ -111,6 +116,9 @@
             f"{report.seed:>6} {report.proxies:>7} {report.requests:>8} {report.answers.get('served', 0):>6} "
             f"{faults:>6} {report.orders:>6} {report.stall_ms:>6} {len(report.breaks):>6} {report.error}"
         )
+    lines += describe_answer_delays(report.answer_delays for report in reports)
+    dating_error_us = max((report.dating_error_us for report in reports), default=0.0)
+    lines.append(f"largest error of a date: {dating_error_us:g} us")
     for report in reports:
         for violation in report.breaks:
             issue = known_issues.get(report.seed, {}).get(str(violation["rule"]))
--- a/tests/test_fault_checker.py
+++ b/tests/test_fault_checker.py
@@ -160,7 +160,10 @@
     assert broken_rules(run) == expected
 
 
-@pytest.mark.parametrize(("began_at", "expected"), [(10.7, set()), (10.3, {"order"})])
+@pytest.mark.parametrize(
+    ("began_at", "expected"),
+    [(10.7, set()), (10.6, set()), (10.5999, {"order"}), (10.55, {"order"}), (10.3, {"order"})],
+)
 def test_requests_with_the_same_key_run_one_after_another(began_at, expected):
     first = request("a", "keyed", 10.0, key="k", answers=[served(10.6)])
     second = request("b", "keyed", 10.1, key="k", answers=[served(11.0)])
@@ -168,6 +171,50 @@
     assert broken_rules(RunRecord([first, second], attempts)) == expected
 
 
+@pytest.mark.parametrize(
+    ("dating_error_s", "earliest_at", "is_read", "expected"),
+    [
+        (0.0, 10.6, True, {"order"}),
+        (0.004, 10.6, True, {"order"}),  # twice the error is less than the 0.01 s
+        (0.006, 10.6, True, set()),
+        (0.0, 10.591, True, {"order"}),  # the client may have had the answer at 10.591
+        (0.0, 10.59, True, set()),
+        (0.0, 10.6, False, set()),  # the answer may have waited in the client's socket
+    ],
+)
+def test_the_order_of_a_key_is_judged_as_exactly_as_the_records_are_dated(
+    dating_error_s, earliest_at, is_read, expected
+):
+    answer = Answer(10.6, AnswerCode.SERVED, earliest_at=earliest_at)
+    first = request("a", "keyed", 10.0, key="k", answers=[answer], is_read=is_read)
+    second = request("b", "keyed", 10.1, key="k", answers=[served(11.0)])
+    attempts = [attempt(ref="a", name="keyed"), attempt(10.59, 10.9, ref="b", name="keyed")]
+    run = RunRecord([first, second], attempts, dating_error_s=dating_error_s)
+    assert broken_rules(run) == expected
+
+
+@pytest.mark.parametrize(("earliest_end", "expected"), [(10.49, set()), (10.501, {"duplicate"})])
+def test_an_end_that_was_read_late_is_judged_by_its_earliest_time(earliest_end, expected):
+    first = attempt(ended_at=10.9, end=AttemptEnd.CLOSED)
+    first.ended_earliest_at = earliest_end
+    attempts = [first, attempt(10.5, 10.8, engine="s1")]
+    assert broken_rules(RunRecord([request(answers=[served(10.9)])], attempts)) == expected
+
+
+@pytest.mark.parametrize(("earliest_at", "expected"), [(10.04, set()), (10.16, {"deadline"})])
+def test_a_request_that_was_read_late_is_judged_by_its_earliest_arrival(earliest_at, expected):
+    late = attempt(arrived_at=10.4, wait_s=3.0)
+    late.earliest_at = earliest_at
+    assert broken_rules(RunRecord([request(answers=[served()])], [late])) == expected
+
+
+@pytest.mark.parametrize(("earliest_at", "expected"), [(11.09, set()), (11.11, {"lost"})])
+def test_an_attempt_after_a_cancellation_is_judged_by_its_earliest_arrival(earliest_at, expected):
+    late = attempt(arrived_at=11.4, ended_at=11.5)
+    late.earliest_at = earliest_at
+    assert broken_rules(RunRecord([request(cancelled_at=11.0)], [late])) == expected
+
+
 @pytest.mark.parametrize(
     ("changes", "expected"),
     [
