Let a cancelled attempt end only once its STOP has left the process

Same class as the incident: an effect that permits the next one was only queued. The outcome of a cancelled attempt was reported 4 ms after its STOP was put into the send queue, written or not, and its query was sent to the next engine: two attempts out where the writer was late or the engine's socket full. No caller reported it; found by the audit of the class.

Change: the 4 ms count from the moment in which the kernel has taken the STOP. A connection that does not take one for 0.5 s is closed, which gives up its attempts too. The backend is given a call for that in place of returning a delay.

test_an_attempt_counts_as_stopped_only_when_its_stop_has_left_the_process passes. On the code before it fails already for the interface, so it was not shown red for the behaviour itself. The other tests of cancellations confirm the stop in place of running a timer of 4 ms. tests/test_gateway.py, test_proxy.py, test_size.py, test_key_order.py: 62 passed.

--- a/hollowhitch/gateway.py
+++ b/hollowhitch/gateway.py
@@ -122,11 +122,10 @@
         Call `Gateway.attempt_ended` once the attempt has ended, unless it was cancelled before.
         """
 
-    def cancel(self, attempt: Attempt) -> float | None:
-        """Drop an attempt whose result is no longer wanted.
+    def cancel(self, attempt: Attempt, on_stopped: Callable[[], None]) -> bool:
+        """Drop an attempt whose result is no longer wanted, and return whether it was sent.
 
-        Return the seconds until its engine can be assumed to know of the cancellation, or None if the attempt
-        was never sent.
+        If it was sent, `on_stopped` is called once its engine can be assumed to know of the cancellation.
         """
 
     def probe(self, engine: str) -> None: ...
@@ -352,14 +351,11 @@
         if attempt.ended:
             return
         self._mark_ended(attempt)
-        delay_s = self.backend.cancel(attempt)
-        if delay_s is None and outcome is api.Outcome.TIMEOUT:
-            # No connection was free in time, so the attempt never ran.
-            outcome = api.Outcome.CONNECT_FAILED
-        if delay_s:
-            self._call_later(delay_s, lambda: self._report(attempt, outcome, None))
-        else:
-            self._report(attempt, outcome, None)
+        if self.backend.cancel(attempt, lambda: self._report(attempt, outcome, None)):
+            return
+        # No connection was free in time, so an attempt that timed out never ran.
+        timed_out = outcome is api.Outcome.TIMEOUT
+        self._report(attempt, api.Outcome.CONNECT_FAILED if timed_out else outcome, None)
 
     def _report(self, attempt: Attempt, outcome: api.Outcome, report: api.LoadReport | None) -> None:
         """Count and log the end of an attempt, and tell the controller."""
--- a/hollowhitch/net/engine_pools.py
+++ b/hollowhitch/net/engine_pools.py
@@ -6,7 +6,7 @@
 import functools
 import time
 from collections import deque
-from collections.abc import Mapping
+from collections.abc import Callable, Mapping
 
 import gevent
 from gevent import socket
@@ -43,8 +43,9 @@
 # Between answers it does so after MAX_SILENCE_US microseconds without a byte, if one of its attempts was sent
 # more than MAX_SILENCE_US plus OVERDUE_FACTOR times its estimated work ago.
 MAX_ANSWER_PAUSE_US, MAX_SILENCE_US, OVERDUE_FACTOR = 500_000, 3_000_000, 4
-# Seconds by which a STOP or a close precedes the query's next attempt, so that the engine learns of it first.
+# Seconds between the write of a STOP, or a close, and the query's next attempt: the engine has to know first.
 STOP_LEAD_S = 0.004
+STOP_TIMEOUT_S = 0.5  # seconds after which a connection that does not take a STOP is closed instead
 
 
 class EngineConnection:
@@ -104,21 +105,34 @@
         self.written_refs.add(query.ref)
         return self.protocol.start_request(query.ref, fields, query.statement)
 
-    def cancel(self, attempt: Attempt) -> float | None:
+    def cancel(self, attempt: Attempt, on_stopped: Callable[[], None]) -> bool:
         """Drop an attempt, as `Backend.cancel` describes."""
         ref = attempt.query.ref
         if self.attempts.get(ref) is not attempt:
-            return None
+            return False
         del self.attempts[ref]
         self.is_exclusive = False
         self.last_used_at_us = self.pool.owner.clock.now_us()
         if ref not in self.written_refs:
-            return None
+            return False
         self.written_refs.discard(ref)
         self.is_suspect = self.last_received_at_us < attempt.sent_at_us
-        # Nothing is sent if the connection is closed, because its close has told the engine.
-        self.send_queue.put(self.protocol.cancel(ref))
-        return STOP_LEAD_S
+        self._send_stop(ref, on_stopped)
+        return True
+
+    def _send_stop(self, ref: str, on_stopped: Callable[[], None]) -> None:
+        """Queue a STOP, or close the connection if its engine takes none: the close gives up the attempt too.
+
+        Nothing is sent if the connection is closed, because its close has told the engine.
+        """
+        call_later = self.pool.owner.call_later
+        timeout = call_later(STOP_TIMEOUT_S, lambda: self.close("STOP not taken"))
+
+        def on_taken() -> None:
+            timeout.cancel()
+            call_later(STOP_LEAD_S, on_stopped)
+
+        self.send_queue.put(self.protocol.cancel(ref), on_taken=on_taken)
 
     def probe(self, tag: str) -> None:
         """Queue a health probe. `tag` identifies its answer, as a ref does that of an attempt."""
@@ -399,10 +413,10 @@
             return
         pool.start(attempt)
 
-    def cancel(self, attempt: Attempt) -> float | None:
+    def cancel(self, attempt: Attempt, on_stopped: Callable[[], None]) -> bool:
         """Drop an attempt, as `Backend.cancel` describes."""
         connection = attempt.backend_handle
-        return connection.cancel(attempt) if isinstance(connection, EngineConnection) else None
+        return isinstance(connection, EngineConnection) and connection.cancel(attempt, on_stopped)
 
     def probe(self, engine: str) -> None:
         """Probe an engine on an open connection; without one, the probe ends as CONNECT_FAILED."""
--- a/hollowhitch/net/send_queue.py
+++ b/hollowhitch/net/send_queue.py
@@ -117,8 +117,7 @@
                 size += item_size
                 if on_taken is not None:
                     self._taken_calls.append((len(chunk), on_taken))
-            if chunk:
-                self._send(chunk)
+            self._send(chunk)
             self.size = max(0, self.size - size)
             if not self.above_threshold:
                 self._below_threshold.set()
@@ -129,5 +128,9 @@
         with memoryview(chunk) as view:
             while sent_bytes < len(view):
                 sent_bytes += retry_transient(SystemCall.SEND, self._sock.send, view[sent_bytes:])
-                while self._taken_calls and self._taken_calls[0][0] <= sent_bytes:
-                    self._taken_calls.popleft()[1]()
+                self._call_taken(sent_bytes)
+        self._call_taken(sent_bytes)
+
+    def _call_taken(self, sent_bytes: int) -> None:
+        while self._taken_calls and self._taken_calls[0][0] <= sent_bytes:
+            self._taken_calls.popleft()[1]()
--- a/tests/test_gateway.py
+++ b/tests/test_gateway.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+from collections.abc import Callable
 from types import SimpleNamespace
 
 import pytest
@@ -21,13 +22,21 @@
     def __init__(self) -> None:
         self.started: list[gw.Attempt] = []
         self.cancelled: list[gw.Attempt] = []
+        self.stopped_calls: list[Callable[[], None]] = []
 
     def start(self, attempt: gw.Attempt) -> None:
         self.started.append(attempt)
 
-    def cancel(self, attempt: gw.Attempt) -> float | None:
+    def cancel(self, attempt: gw.Attempt, on_stopped: Callable[[], None]) -> bool:
         self.cancelled.append(attempt)
-        return 0.004
+        self.stopped_calls.append(on_stopped)
+        return True
+
+    def confirm_stops(self) -> None:
+        """Let the engines know of all cancellations."""
+        calls, self.stopped_calls = self.stopped_calls, []
+        for on_stopped in calls:
+            on_stopped()
 
     def probe(self, engine: str) -> None:
         raise AssertionError("the settings do not allow probes")
@@ -94,7 +103,7 @@
     fixture.gateway.client_left(query)
     fixture.gateway.client_left(query)
     assert fixture.backend.cancelled == fixture.backend.started and fixture.answers == []
-    fixture.run_timers(0.01)
+    fixture.backend.confirm_stops()
     assert not fixture.gateway.queries
 
 
@@ -104,7 +113,7 @@
     fixture.submit()
     fixture.gateway._cancel_attempt(fixture.backend.started[0], Outcome.TIMEOUT)
     assert len(fixture.backend.cancelled) == 1 and len(fixture.backend.started) == 1
-    fixture.run_timers(0.01)
+    fixture.backend.confirm_stops()
     assert len(fixture.backend.started) == 2 and fixture.backend.started[0] is not fixture.backend.started[1]
     # The result of the old attempt is ignored.
     fixture.gateway.attempt_ended(fixture.backend.started[0], Outcome.OK, None, b"late")
@@ -115,7 +124,7 @@
     """Otherwise the controller would assume that the query may still run."""
     fixture = GatewayFixture()
     events = []
-    monkeypatch.setattr(fixture.backend, "cancel", lambda attempt: None)
+    monkeypatch.setattr(fixture.backend, "cancel", lambda attempt, on_stopped: False)
     fixture.submit()
     monkeypatch.setattr(fixture.gateway, "post", events.append)
     fixture.gateway._cancel_attempt(fixture.backend.started[0], Outcome.TIMEOUT)
@@ -137,7 +146,7 @@
     fixture.submit()
     if event_type is api.AttemptEnded:
         fixture.gateway.attempt_ended(fixture.backend.started[0], Outcome.ERROR)
-    fixture.run_timers(0.01)
+    fixture.backend.confirm_stops()
     assert fixture.answers == [gw.Failed()] and fixture.gateway.unanswered_count == 0
     monkeypatch.setattr(fixture.gateway.controller, "handle", handle)
     fixture.submit()
@@ -236,5 +245,5 @@
     fixture = GatewayFixture(make_query_class("q", retry_safety=api.RetrySafety.DEDUPLICATED, in_order=True))
     first, _ = fixture.submit(), fixture.submit()
     fixture.gateway.client_left(first)
-    fixture.run_timers(0.01)
+    fixture.backend.confirm_stops()
     assert fixture.gateway.controller.key_order.next_query_id(7) == "q2"
--- a/tests/test_proxy.py
+++ b/tests/test_proxy.py
@@ -523,7 +523,7 @@
     (query,) = proxy.gateway.queries.values()
     (connection,) = proxy.engine_pools.pools["e0"].connections
     connection.close("broken")
-    assert not query.attempts[0].ended and proxy.engine_pools.cancel(query.attempts[0])
+    assert not query.attempts[0].ended and proxy.engine_pools.cancel(query.attempts[0], lambda: None)
 
 
 def test_dialing_uses_no_resolver(start_proxy, monkeypatch):
@@ -595,6 +595,24 @@
     assert all(connection.is_closing for connection in others)
 
 
+def test_an_attempt_counts_as_stopped_only_when_its_stop_has_left_the_process(start_proxy):
+    def read_nothing_more(verb, ref):
+        gevent.sleep(5.0)
+        return b""
+
+    proxy, (engine,) = start_proxy(read_nothing_more)
+    client = Client(proxy)
+    client.send_request(1)
+    engine.wait_for_line("REQ")
+    (connection,) = proxy.engine_pools.pools["e0"].connections
+    (attempt,) = connection.attempts.values()
+    connection.send_queue.put(b"x" * 20_000_000)  # more than the socket buffers hold
+    stopped = Event()
+    assert proxy.engine_pools.cancel(attempt, stopped.set)
+    assert not stopped.wait(0.2) and not connection.closed
+    assert stopped.wait(1.0) and connection.closed
+
+
 def test_a_client_that_reads_nothing_does_not_keep_the_proxy_from_exiting(start_proxy, monkeypatch):
     monkeypatch.setattr(program, "plan_shutdown", lambda classes: ShutdownPlan(0.05, 0.1, 0.15))
     proxy, _ = start_proxy(answer_rows)
