--- a/hollowhitch/gateway.py
+++ b/hollowhitch/gateway.py
@@ -25,6 +25,9 @@
 # that the client allows, whichever is less. The controller's own margin of two ticks of the simulator's clock
 # is too short for a real answer when the machine gives this process no core for a while.
 ANSWER_MARGIN_US, ANSWER_MARGIN_SHARE = 100_000, 0.1
+# Microseconds that an answer gets to leave the process before the next query of its key may start, even if it is
+# given when its client has stopped waiting.
+MIN_DELIVERY_US = 200_000
 # Microseconds after a query's expiry at which the gateway fails it if the controller has not ended it.
 WATCHDOG_DELAY_US = 5_000
 
@@ -423,8 +426,8 @@
         self._finish(query)
         if query.awaits_delivery:
             # A client that does not read delays its key until it stops waiting, but no longer.
-            delay_s = max(0, query.client_gives_up_at_us - self.clock.now_us()) / 1e6
-            query.delivery_timeout = self._call_later(delay_s, lambda: self.answer_delivered(query))
+            delay_us = max(query.client_gives_up_at_us - self.clock.now_us(), MIN_DELIVERY_US)
+            query.delivery_timeout = self._call_later(delay_us / 1e6, lambda: self.answer_delivered(query))
         query.send_answer(answer)
 
     def _finish(self, query: Query) -> None:
--- a/tests/test_gateway.py
+++ b/tests/test_gateway.py
@@ -241,6 +241,18 @@
     assert len(fixture.backend.started) == 2
 
 
+def test_an_answer_given_after_the_client_gave_up_still_precedes_the_next_query_of_its_key():
+    fixture = GatewayFixture(make_query_class("q", retry_safety=api.RetrySafety.DEDUPLICATED, in_order=True))
+    first = fixture.submit()
+    fixture.clock.offset_us += 6_100_000
+    fixture.submit()
+    fixture.gateway.attempt_ended(fixture.backend.started[0], Outcome.OK, None, b"late")
+    fixture.run_timers(0.1)
+    assert first.finished and len(fixture.backend.started) == 1
+    fixture.gateway.answer_delivered(first)
+    assert len(fixture.backend.started) == 2
+
+
 def test_a_client_that_leaves_before_its_answer_is_taken_does_not_delay_its_key():
     fixture = GatewayFixture(make_query_class("q", retry_safety=api.RetrySafety.DEDUPLICATED, in_order=True))
     first, _ = fixture.submit(), fixture.submit()
