--- a/faults/clients.py
+++ b/faults/clients.py
@@ -53,7 +53,6 @@
         self.sock.connect(address)
         self.sock.settimeout(None)
         self.sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
-        self.closing_received = Event()  # the proxy sent a CLOSING frame
         self.ready_received = Event()  # the proxy sent a READY frame that says that it is ready
         self.ended = Event()  # the proxy closed or reset the connection
         self.ended_at: float | None = None
@@ -172,7 +171,7 @@
                 )
         except OSError:
             reset = True
-            earliest_at = reader.earliest_unread_at()
+            earliest_at = reader.earliest_end_at()
         self._connection_ended(reset, earliest_at)
 
     def _wait_before_read(self, reader: DatedReader) -> None:
@@ -201,9 +200,7 @@
             self._handle_frame(frame, reading.received_at, earliest_at)
 
     def _handle_frame(self, frame: wire.Frame, received_at: float, earliest_at: float) -> None:
-        if frame.kind == wire.CLOSING:
-            self.closing_received.set()
-        elif frame.kind == wire.READY and frame.payload[0] == wire.IS_READY:
+        if frame.kind == wire.READY and frame.payload[0] == wire.IS_READY:
             self.ready_received.set()
         elif frame.kind == wire.ANSWER and frame.stream:
             code, fields, body = wire.decode_answer(frame.payload)
--- a/faults/dating.py
+++ b/faults/dating.py
@@ -78,6 +78,7 @@
     def __init__(self, sock: socket.socket) -> None:
         self._sock = sock
         self._paused_since: float | None = None
+        self._last_earliest_at = time.monotonic()  # of the last reading
 
     def pause(self) -> None:
         """Note that nothing is read until the next `read`, although bytes may arrive in the meantime."""
@@ -87,14 +88,23 @@
     def read(self, max_bytes: int = 65_536) -> Reading:
         """Block until bytes arrive or the peer closes; raise OSError if the connection fails."""
         data, ancillary, _, _ = self._sock.recvmsg(max_bytes, ANCILLARY_BYTES)
-        now, earliest_at = time.monotonic(), self.earliest_unread_at()
-        self._paused_since = None
+        now = time.monotonic()
+        earliest_at = self.earliest_unread_at() if data else self.earliest_end_at()
+        self._paused_since, self._last_earliest_at = None, earliest_at
         received_at = _kernel_time(ancillary) if data else None
         if received_at is None:
             return Reading(data, now, earliest_at)
         received_at = min(received_at, now)
         return Reading(data, received_at, min(earliest_at, received_at))
 
+    def earliest_end_at(self) -> float:
+        """Return the earliest time at which the peer can have closed, if its close is read now.
+
+        A close that arrives with other bytes is read after them, which may be late if reading is paused.
+        """
+        earliest_at = self.earliest_unread_at()
+        return earliest_at if self._paused_since is None else min(earliest_at, self._last_earliest_at)
+
     def earliest_unread_at(self) -> float:
         """Return the earliest time at which what is read now can have arrived."""
         earliest_at = min(polls().previous_at, time.monotonic())
--- a/faults/engines.py
+++ b/faults/engines.py
@@ -142,7 +142,6 @@
         attempt = AttemptRecord(
             ref=ref,
             engine=self.engine.name,
-            proxy="",
             class_name=fields["class"],
             first_byte_at=first_byte.latest_at,
             arrived_at=self._message.latest_at,
--- a/faults/order_checker.py
+++ b/faults/order_checker.py
@@ -203,7 +203,8 @@
             until = min(next(later_drains, math.inf), self._process_end_of(order))
             for answer in self.run.readiness:
                 due_at = order.sent_at + MAX_UNDRAIN_TIME_S
-                if answer.proxy == order.proxy and not answer.ready and due_at < answer.asked_at < until:
+                in_time = due_at < answer.asked_at and answer.answered_at < until
+                if answer.proxy == order.proxy and not answer.ready and in_time:
                     text = f"{order.proxy} was undrained but reported that it is not ready ({answer.source})"
                     self._add_violation("undrain", answer.asked_at, text)
 
--- a/faults/records.py
+++ b/faults/records.py
@@ -91,7 +91,6 @@
 
     ref: str
     engine: str
-    proxy: str
     class_name: str
     first_byte_at: float
     arrived_at: float  # when the whole request had arrived
--- a/hollowhitch/net/engine_pools.py
+++ b/hollowhitch/net/engine_pools.py
@@ -22,6 +22,7 @@
 from hollowhitch.net.loop_monitor import LoopMonitor
 from hollowhitch.net.send_queue import SendQueue
 from hollowhitch.net.system_call_errors import ErrorOrigin, SystemCall, retry_transient
+from hollowhitch.policy.constants import OVERDUE_FACTOR
 from hollowhitch.policy.interface import EngineList, EngineState, ListKind, LoadReport, Outcome, ProbeEnded
 from hollowhitch.policy.membership import Membership
 from hollowhitch.protocol.lines import EngineProtocol
@@ -42,7 +43,7 @@
 # Within an answer, a connection counts as stalled after MAX_ANSWER_PAUSE_US microseconds without a byte.
 # Between answers it does so after MAX_SILENCE_US microseconds without a byte, if one of its attempts was sent
 # more than MAX_SILENCE_US plus OVERDUE_FACTOR times its estimated work ago.
-MAX_ANSWER_PAUSE_US, MAX_SILENCE_US, OVERDUE_FACTOR = 500_000, 3_000_000, 4
+MAX_ANSWER_PAUSE_US, MAX_SILENCE_US = 500_000, 3_000_000
 # Seconds between the write of a STOP, or a close, and the query's next attempt: the engine has to know first.
 STOP_LEAD_S = 0.004
 STOP_TIMEOUT_S = 0.5  # seconds after which a connection that does not take a STOP is closed instead
--- a/hollowhitch/protocol/channel.py
+++ b/hollowhitch/protocol/channel.py
@@ -123,6 +123,8 @@
         try:
             self._parser.feed_data(data)
         except httptools.HttpParserError as e:
+            if isinstance(e.__context__, ChannelError):  # raised by one of the callbacks below
+                raise e.__context__ from None
             raise ChannelError(f"{type(e).__name__}: {e}") from None
         events, self._events = self._events, []
         return events
--- a/tests/test_channel.py
+++ b/tests/test_channel.py
@@ -149,3 +149,8 @@
     client.process_event(ServerEvent("4", "{"))
     client.process_event(event(5))
     assert applied == [5]
+
+
+def test_a_response_with_a_bad_status_is_reported_by_its_status():
+    with pytest.raises(ChannelError, match="^response has status 503$"):
+        ChannelProtocol().feed(b"HTTP/1.1 503 Unavailable\r\nContent-Length: 0\r\n\r\n")
--- /dev/null
+++ b/tests/test_fault_dating.py
@@ -0,0 +1,63 @@
+"""Tests of the dates of received bytes: a reader that is late does not move them."""
+
+from __future__ import annotations
+
+import time
+from collections.abc import Iterator
+
+import gevent
+import pytest
+from gevent import socket
+
+from faults.dating import DatedReader, enable_receive_timestamps
+
+STALL_S = 0.15
+MAX_ERROR_S = 0.02  # far less than the stall
+
+
+@pytest.fixture
+def connection() -> Iterator[tuple[socket.socket, DatedReader]]:
+    """Provide a sender and the reader of the other end, whose option the listener has passed on."""
+    with socket.socket() as listener:
+        enable_receive_timestamps(listener)
+        listener.bind(("127.0.0.1", 0))
+        listener.listen()
+        sender = socket.create_connection(listener.getsockname())
+        receiver, _ = listener.accept()
+    with sender, receiver:
+        gevent.sleep(0.01)
+        yield sender, DatedReader(receiver)
+
+
+def test_bytes_are_dated_by_their_arrival_although_the_harness_stalls(connection):
+    sender, reader = connection
+    sender.sendall(b"a")
+    sent_at = time.monotonic()
+    time.sleep(STALL_S)
+    reading = reader.read()
+    assert reading.data == b"a"
+    assert reading.earliest_at <= reading.received_at
+    assert sent_at - MAX_ERROR_S < reading.received_at < sent_at + MAX_ERROR_S
+
+
+def test_the_end_of_a_connection_may_be_as_early_as_the_last_poll_before_a_stall(connection):
+    sender, reader = connection
+    sender.close()
+    closed_at = time.monotonic()
+    time.sleep(STALL_S)
+    reading = reader.read()
+    assert reading.data == b"" and reading.earliest_at <= closed_at
+
+
+def test_a_close_that_arrived_with_bytes_read_late_may_be_as_early_as_they(connection):
+    sender, reader = connection
+    sender.sendall(b"a")
+    sender.close()
+    closed_at = time.monotonic()
+    reader.pause()
+    gevent.sleep(STALL_S)
+    assert reader.read().data == b"a"
+    reader.pause()
+    gevent.sleep(STALL_S)
+    reading = reader.read()
+    assert reading.data == b"" and reading.earliest_at <= closed_at
--- a/tests/test_fault_operators.py
+++ b/tests/test_fault_operators.py
@@ -26,6 +26,7 @@
 from tests.fault_fixtures import answer_codes, violations
 
 MAX_DRAIN_TIME_S = 4.0  # seconds within which a drained process has to close idle and busy connections
+MAX_SIGNAL_DELAY_S = 0.2  # seconds within which a process notices a signal
 HANGING = Behaviour(hang_share=1.0)  # an engine that answers no request
 CLOCK_STEPS_S = (-3600.0, -5.0, 5.0, 3600.0)
 
@@ -205,6 +206,8 @@
     gevent.sleep(signal_after_s)
     proxy.send_signal(signal.SIGHUP)
     proxy.send_signal(signal.SIGTERM)
+    # Until the process has seen the signal, it is draining and may be undrained.
+    assert wait_for(lambda: "topic=lifecycle event=stop " in proxy.log_path.read_text(), MAX_SIGNAL_DELAY_S)
     assert not operator.undrain(proxy).accepted
     harness.run.orders[-1].expects_success = False
     assert operator.drain(proxy).accepted
