--- a/faults/engines.py
+++ b/faults/engines.py
@@ -86,12 +86,19 @@
     return MessageTime(reading.received_at, reading.received_at if ends_message else reading.earliest_at)
 
 
+def _given_up_at(attempt: AttemptRecord, earliest_at: float) -> None:
+    """Note that the proxy has given up an attempt, which its engine may have read only after it had ended."""
+    if attempt.ended_earliest_at is not None:
+        attempt.ended_earliest_at = min(attempt.ended_earliest_at, earliest_at)
+
+
 class EngineConnection:
     """One connection of a proxy to a stub engine."""
 
     def __init__(self, engine: StubEngine, sock: socket.socket) -> None:
         self.engine, self.sock = engine, sock
         self.attempts: dict[str, AttemptRecord] = {}  # running attempts by ref
+        self.ended_attempts: dict[str, AttemptRecord] = {}  # the others by ref
         self.pages_left: dict[str, int] = {}  # number of pages still to be fetched, by ref
         self.closed = False
         self._message: MessageTime | None = (
@@ -133,7 +140,9 @@
                     first_byte = MessageTime(reading.received_at, reading.earliest_at)
         except OSError:
             pass
-        self._message = MessageTime(time.monotonic(), reader.earliest_unread_at())
+        self._message = MessageTime(time.monotonic(), reader.earliest_end_at())
+        for attempt in self.ended_attempts.values():
+            _given_up_at(attempt, self._message.earliest_at)
         self.close(AttemptEnd.CLOSED)
 
     def _handle_request(self, words: list[str], first_byte: MessageTime, read_late: bool) -> None:
@@ -203,10 +212,14 @@
             attempt.end, message = end, self._message
             attempt.ended_at = time.monotonic() if message is None else message.latest_at
             attempt.ended_earliest_at = attempt.ended_at if message is None else message.earliest_at
+            self.ended_attempts[ref] = attempt
             attempt.end_read_late = engine.behaviour.silent or engine.last_silent_at > attempt.arrived_at
 
     def _handle_stop(self, words: list[str]) -> None:
-        self._record_end(words[1], AttemptEnd.CANCELLED)
+        ref, message = words[1], self._message
+        if ref in self.ended_attempts and message is not None:
+            _given_up_at(self.ended_attempts[ref], message.earliest_at)
+        self._record_end(ref, AttemptEnd.CANCELLED)
 
     def _handle_end(self, words: list[str]) -> None:
         self._record_end(words[1], AttemptEnd.SERVED)
--- a/tests/test_fault_dating.py
+++ b/tests/test_fault_dating.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import random
 import time
 from collections.abc import Iterator
 
@@ -10,6 +11,8 @@
 from gevent import socket
 
 from faults.dating import DatedReader, enable_receive_timestamps
+from faults.engines import Behaviour, StubEngine
+from faults.records import RunRecord
 
 STALL_S = 0.15
 MAX_ERROR_S = 0.02  # far less than the stall
@@ -61,3 +64,19 @@
     gevent.sleep(STALL_S)
     reading = reader.read()
     assert reading.data == b"" and reading.earliest_at <= closed_at
+
+
+def test_an_attempt_that_was_given_up_before_its_engine_noticed_ended_then():
+    run = RunRecord()
+    engine = StubEngine("s0", "127.0.0.1", run, random.Random(1))
+    engine.behaviour = Behaviour(work_s=0.0001, min_work_s=0.05)
+    with socket.create_connection((engine.host, engine.port)) as proxy:
+        proxy.sendall(b"REQ aa class=q,wait=1000 1\r\nx\r\n")
+        gevent.sleep(0.02)
+        proxy.sendall(b"STOP aa\r\n")
+        given_up_at = time.monotonic()
+        time.sleep(STALL_S)  # the engine's answer is due when it reads the STOP
+        gevent.sleep(0.05)
+    engine.stop()
+    (attempt,) = run.attempts
+    assert attempt.ended_earliest_at is not None and attempt.ended_earliest_at <= given_up_at
