--- a/review/1/case.py
+++ b/review/1/case.py
@@ -3,12 +3,10 @@
 from __future__ import annotations
 
 import asyncio
-import contextlib
 import secrets
-import socket
 import time
 
-from common.bench import HOST, Attempt, Bench, Database, Request, data_answer, main, make_settings
+from common.bench import Attempt, Bench, LateDatabase, Request, data_answer, main, make_settings
 
 WINDOW_S = 12.0  # for which databases drop a repeat, counted from the first attempt
 SLACK_S = 0.05  # each time limit is 50 ms longer on sockets
@@ -16,53 +14,6 @@
 CRASH_S = 11.9  # from the first load to the crash of its database
 JOIN_S = 4.0  # from the first load until the other database is announced
 LATE_UP_TO_S = 1.5  # connections come up late by up to this time
-QUEUE = 128  # new connections that wait to be accepted
-
-
-class LateDatabase(Database):
-    """A database whose connections come up late while its queue of new connections is full.
-
-    The kernel drops the first packet of a connection that finds the queue full, and the proxy's kernel sends it
-    again one second later.
-    """
-
-    async def start(self) -> None:
-        """Listen on a free port."""
-        self.sock = socket.socket()
-        self.sock.bind((HOST, 0))
-        self.sock.listen(QUEUE)
-        self.sock.setblocking(False)
-        self.port = self.sock.getsockname()[1]
-        self.fillers: list[socket.socket] = []
-        self.conversations: set[asyncio.Task[None]] = set()
-        self.acceptor = asyncio.create_task(self._accept())
-
-    async def _accept(self) -> None:
-        while True:
-            accepted, _ = await asyncio.get_running_loop().sock_accept(self.sock)
-            reader, writer = await asyncio.open_connection(sock=accepted)
-            self.conversations.add(asyncio.create_task(self._serve(reader, writer)))
-
-    async def hold_back(self) -> None:
-        """Make the queue as short as possible and fill it, so that new connections come up late."""
-        self.acceptor.cancel()
-        self.sock.listen(0)
-        for _ in range(3):
-            filler = socket.socket()
-            filler.setblocking(False)
-            with contextlib.suppress(BlockingIOError):
-                filler.connect((HOST, self.port))
-            self.fillers.append(filler)
-        await asyncio.sleep(0.05)
-        self.record(self.name, "new connections come up late")
-
-    def go_on(self) -> None:
-        """Accept connections again."""
-        for filler in self.fillers:
-            filler.close()
-        self.sock.listen(QUEUE)
-        self.acceptor = asyncio.create_task(self._accept())
-        self.record(self.name, "accepts connections")
 
 
 async def run(bench: Bench) -> bool:
--- a/review/common/bench.py
+++ b/review/common/bench.py
@@ -23,6 +23,7 @@
 ROOT = Path(__file__).resolve().parents[2]
 HELD, BROKEN, COULD_NOT_RUN = 0, 1, 2
 HOST = "127.0.0.1"
+QUEUE = 128  # new connections that wait to be accepted
 _readers: set[asyncio.Task[None]] = set()  # tasks must be referenced while they run
 
 
@@ -299,6 +300,52 @@
             self.record(self.name, how, ref=attempt.ref)
 
 
+class LateDatabase(Database):
+    """A database whose connections come up late while its queue of new connections is full.
+
+    The kernel drops the first packet of a connection that finds the queue full, and the proxy's kernel sends
+    it again one second later.
+    """
+
+    async def start(self) -> None:
+        """Listen on a free port."""
+        self.sock = socket.socket()
+        self.sock.bind((HOST, 0))
+        self.sock.listen(QUEUE)
+        self.sock.setblocking(False)
+        self.port = self.sock.getsockname()[1]
+        self.fillers: list[socket.socket] = []
+        self.conversations: set[asyncio.Task[None]] = set()
+        self.acceptor = asyncio.create_task(self._accept())
+
+    async def _accept(self) -> None:
+        while True:
+            accepted, _ = await asyncio.get_running_loop().sock_accept(self.sock)
+            reader, writer = await asyncio.open_connection(sock=accepted)
+            self.conversations.add(asyncio.create_task(self._serve(reader, writer)))
+
+    async def hold_back(self) -> None:
+        """Make the queue as short as possible and fill it, so that new connections come up late."""
+        self.acceptor.cancel()
+        self.sock.listen(0)
+        for _ in range(3):
+            filler = socket.socket()
+            filler.setblocking(False)
+            with contextlib.suppress(BlockingIOError):
+                filler.connect((HOST, self.port))
+            self.fillers.append(filler)
+        await asyncio.sleep(0.05)
+        self.record(self.name, "new connections come up late")
+
+    def go_on(self) -> None:
+        """Accept connections again."""
+        for filler in self.fillers:
+            filler.close()
+        self.sock.listen(QUEUE)
+        self.acceptor = asyncio.create_task(self._accept())
+        self.record(self.name, "accepts connections")
+
+
 class Request:
     """A client's request and what came back for it."""
 
