Require the number of pages in an answer, so that no truncated result is served

Cause: EngineProtocol took a `data` answer without `fetches` as one page. By reading, the same class: `well` ended a request as an empty result, a field could stand twice, "+1" counted as a number. Change: both page numbers are required decimal digits, names stand once, the word must fit what was asked; else the connection ends and its queries are sent again as their classes allow. That works because a damaged line now has no reading as a result.

--- a/hollowhitch/protocol/lines.py
+++ b/hollowhitch/protocol/lines.py
@@ -36,26 +36,46 @@
 
 
 class Exchange:
-    """Progress of one request's result.
+    """Progress of one request's result, or of a health probe.
 
     `pages` is empty until the first page arrives. From then on it holds the pages in order, and None for each
     of the `missing_pages`.
     """
 
-    __slots__ = ("pages", "missing_pages", "size_bytes", "report")
+    __slots__ = ("is_probe", "pages", "missing_pages", "size_bytes", "report")
 
-    def __init__(self) -> None:
+    def __init__(self, is_probe: bool = False) -> None:
+        self.is_probe = is_probe
         self.pages: list[bytes | None] = []
         self.missing_pages = self.size_bytes = 0
         self.report: LoadReport | None = None
 
 
 def parse_answer_fields(text: str) -> dict[str, str]:
-    """Return the fields in a text of the form `name=value,name=value`; `-` stands for no fields."""
+    """Return the fields in a text of the form `name=value,name=value`; `-` stands for no fields.
+
+    Raise LineError for a field without a value and for a name that stands twice.
+    """
     if text == "-":
         return {}
-    pairs = (pair.partition("=") for pair in text.split(","))
-    return {name: value for name, _, value in pairs}
+    fields: dict[str, str] = {}
+    for pair in text.split(","):
+        name, separator, value = pair.partition("=")
+        if not separator or name in fields:
+            raise LineError(f"invalid field {pair[:40]!r}")
+        fields[name] = value
+    return fields
+
+
+def parse_page_number(fields: dict[str, str], name: str) -> int:
+    """Return the number of a page, or of all pages, in a field. Raise LineError if it is missing or invalid.
+
+    There is no default: a field whose name arrives damaged must not turn a result into a shorter one.
+    """
+    text = fields.get(name, "")
+    if not (text.isascii() and text.isdecimal()):
+        raise LineError(f"{name} is not a number: {text[:20]!r}")
+    return int(text)
 
 
 def has_whole_rows(page: bytes) -> bool:
@@ -103,7 +123,7 @@
 
     def start_probe(self, tag: str) -> bytes:
         """Open an exchange for a health probe, with `tag` as its ref, and return the request to send."""
-        self.open_exchanges[tag] = Exchange()
+        self.open_exchanges[tag] = Exchange(is_probe=True)
         return b"HELO %s\r\n" % tag.encode()
 
     def cancel(self, ref: str) -> bytes:
@@ -186,19 +206,16 @@
         exchange = self.open_exchanges.get(ref)
         if exchange is None:  # a late answer to an exchange that was cancelled or has ended
             return None
-        try:
-            if self._with_reports and fields.get("stats"):
-                exchange.report = parse_report(fields["stats"], ";")
-            if word == "well":
-                return self._finish(ref, Outcome.OK)
-            if word == "data" and not exchange.pages:
-                return self._handle_first_page(ref, exchange, int(fields.get("fetches") or 1), body)
-            if word == "page" and exchange.pages:
-                return self._handle_page(ref, exchange, int(fields["fetch_no"]), body)
-        except LineError:
-            raise
-        except (ValueError, KeyError) as e:
-            raise LineError(f"invalid fields of the answer {word}: {e!r}") from None
+        if exchange.is_probe != (word == "well"):
+            raise LineError(f"answer {word[:20]!r} does not fit what was asked")
+        if self._with_reports and fields.get("stats"):
+            exchange.report = parse_report(fields["stats"], ";")
+        if exchange.is_probe:
+            return self._finish(ref, Outcome.OK)
+        if word == "data" and not exchange.pages:
+            return self._handle_first_page(ref, exchange, parse_page_number(fields, "fetches"), body)
+        if word == "page" and exchange.pages:
+            return self._handle_page(ref, exchange, parse_page_number(fields, "fetch_no"), body)
         if word == "data":  # a duplicate of the first page
             return None
         if word not in OUTCOMES:
--- a/tests/test_lines.py
+++ b/tests/test_lines.py
@@ -100,8 +100,10 @@
         answer(A, "data", "fetches=99", page(0))
         + b"".join(answer(A, "page", f"fetch_no={n}", b"%05990d\t\t\n" % 0) for n in range(1, 10)),
         answer(A, "data", "fetches=1", b"%06000d\t\t\n" % 0),
+        answer(A, "data", "fetches=3,fetches=1", page(0)),
+        answer(A, "data", "fetches=+1", page(0)),
     ],
-    ids=range(14),
+    ids=range(16),
 )
 def test_invalid_answer_invalidates_what_follows_but_not_earlier_answers(raw):
     protocol = protocol_with_requests(A, B)
@@ -110,6 +112,19 @@
     assert protocol.feed(answer(A, "data", "fetches=1", page(0))) == []
 
 
+# Guards against serving the first page as the whole result when the number of pages arrives damaged.
+@pytest.mark.parametrize("fields", ["-", "stats=cpu:0.5", "fetchqs=3,stats=cpu:0.5", "fetchesx3", "fetches="])
+def test_a_result_without_its_number_of_pages_is_not_served(fields):
+    protocol = protocol_with_requests(A)
+    assert protocol.feed(answer(A, "data", fields, page(0))) == [] and protocol.protocol_error
+
+
+# Guards against serving an empty result for an answer that belongs to a probe.
+def test_an_answer_to_a_probe_is_no_result_of_a_request():
+    protocol = protocol_with_requests(A)
+    assert protocol.feed(answer(A, "well")) == [] and protocol.protocol_error
+
+
 def test_duplicate_and_unrequested_answers_are_dropped():
     """A duplicate, or an answer with an unknown ref, does not affect any result."""
     protocol, unknown = protocol_with_requests(A), answer("00000000000000cc", "data", "fetches=3", page(7))
