Write no request whose query has ended while it waited for a connection

Cause: EngineConnection._format_request looked at attempt.ended only; without cancelling the attempt stays open. The last check before the write now looks at the query too, so nothing that ends a query between decision and write is missed. Measured: the new test of test_proxy.py failed before (REQ of the cancelled request at the engine) and passes now.

--- a/hollowhitch/net/engine_pools.py
+++ b/hollowhitch/net/engine_pools.py
@@ -92,9 +92,13 @@
             return b""
         owner = self.pool.owner
         remaining_ms = (attempt.expires_at_us - owner.clock.now_us()) // 1000
-        if not self.pool.ready or remaining_ms < 1 or not owner.may_send(self.pool.engine_id, query.ref):
-            # A draining engine must not be sent requests, and the engine may have begun to drain after the
-            # controller chose it.
+        if (
+            query.finished
+            or not self.pool.ready
+            or remaining_ms < 1
+            or not owner.may_send(self.pool.engine_id, query.ref)
+        ):
+            # The client may have left, or the engine begun to drain, after the controller sent the attempt.
             del self.attempts[query.ref]
             gevent.spawn(owner.gateway.attempt_ended, attempt, Outcome.NEVER_SENT)
             return b""
--- a/tests/test_proxy.py
+++ b/tests/test_proxy.py
@@ -395,6 +395,27 @@
     assert engine.received_lines == []
 
 
+# Guards against a load that begins after its client has gone, where the settings forbid to cancel attempts.
+def test_an_attempt_that_waits_for_a_connection_is_not_written_after_its_client_left(
+    start_proxy, monkeypatch
+):
+    monkeypatch.setitem(sample_config.SETTINGS["bounds"], "cancel", False)
+    may_connect = Event()
+    monkeypatch.setattr(engine_pools, "dial", lambda *args: may_connect.wait() and dial(*args))
+    proxy, (engine,) = start_proxy(answer_rows)
+    client = Client(proxy)
+    client.send_request(1)
+    while not proxy.engine_pools.pools["e0"].pending:
+        gevent.sleep(0.001)
+    client.send(frames.CANCEL, 1)
+    while proxy.gateway.unanswered_count:
+        gevent.sleep(0.001)
+    may_connect.set()
+    client.send_request(2, ref="00000000000000bb")
+    assert client.read_answer()[:2] == (2, frames.SERVED)
+    assert [line.split()[1] for line in engine.received_lines] == ["00000000000000bb"]
+
+
 def test_a_new_engine_at_a_reused_address_gets_connections_of_its_own(start_proxy):
     proxy, (engine, other) = start_proxy(answer_rows, answer_rows)
     client = Client(proxy)
