Check the window for repeats again just before a request is written

Cause: may_attempt compared the window with the time of the decision; the attempt then waited for its connection. Change: Send carries the time left for a repeat, and the last check before the write compares it with the clock, so no wait in between (dial, send queue, stalled loop) can carry a repeat over the end of the window.

--- a/hollowhitch/gateway.py
+++ b/hollowhitch/gateway.py
@@ -7,6 +7,7 @@
 from __future__ import annotations
 
 import dataclasses
+import math
 from collections import deque
 from collections.abc import Callable
 from dataclasses import dataclass, field
@@ -108,6 +109,7 @@
     sent_at_us: int
     expires_at_us: int
     memory_grant_mb: float
+    send_by_us: float = math.inf  # when it must not be written any more, since it could run twice then
     ended: bool = False
     outcome: api.Outcome | None = None  # None until it is reported to the controller
     backend_handle: object = None  # for the backend's own use
@@ -341,6 +343,8 @@
         attempt = Attempt(
             query, len(query.attempts), action.engine, now_us, expires_at_us, query.memory_grant_mb
         )
+        if action.send_within_us is not None:
+            attempt.send_by_us = now_us + action.send_within_us
         if query.attempts:
             self._record_retry(query, attempt)
         query.attempts.append(attempt)
--- a/hollowhitch/net/engine_pools.py
+++ b/hollowhitch/net/engine_pools.py
@@ -91,14 +91,17 @@
         if attempt.ended or self.attempts.get(query.ref) is not attempt:
             return b""
         owner = self.pool.owner
-        remaining_ms = (attempt.expires_at_us - owner.clock.now_us()) // 1000
+        now_us = owner.clock.now_us()
+        remaining_ms = (attempt.expires_at_us - now_us) // 1000
         if (
             query.finished
+            or now_us >= attempt.send_by_us
             or not self.pool.ready
             or remaining_ms < 1
             or not owner.may_send(self.pool.engine_id, query.ref)
         ):
-            # The client may have left, or the engine begun to drain, after the controller sent the attempt.
+            # Since the controller sent the attempt, the client may have left, the time for a repeat may have
+            # ended, or the engine may have begun to drain.
             del self.attempts[query.ref]
             gevent.spawn(owner.gateway.attempt_ended, attempt, Outcome.NEVER_SENT)
             return b""
--- a/hollowhitch/policy/interface.py
+++ b/hollowhitch/policy/interface.py
@@ -424,6 +424,8 @@
     id: str
     engine: str
     timeout_us: int  # 0: the attempt ends only when the query expires
+    # Time within which the attempt must have been written whole, or must not be sent; None: no such limit.
+    send_within_us: int | None = None
 
 
 @dataclass(frozen=True, slots=True)
--- a/hollowhitch/policy/routing.py
+++ b/hollowhitch/policy/routing.py
@@ -190,7 +190,7 @@
             self.actions.append(
                 api.SetTerms(query.id, grant_mb, priority if self.settings.engines_take_priorities else 1)
             )
-        self.actions.append(api.Send(query.id, engine.info.id, timeout_us))
+        self.actions.append(api.Send(query.id, engine.info.id, timeout_us, self.repeat_within_us(query)))
         if query.query_class.retry_safety is RetrySafety.SAFE:
             stuck_at_us = self.now_us + self._stuck_after_us(query, engine)
             self.schedule_for(query, stuck_at_us, self._check_stuck, attempt)
--- a/hollowhitch/policy/state.py
+++ b/hollowhitch/policy/state.py
@@ -177,16 +177,8 @@
             or query.attempts_in_flight()
         ):
             return False
-        window_us = (
-            query.query_class.dedup_window_us
-            if query.query_class.retry_safety is api.RetrySafety.DEDUPLICATED
-            else 0
-        )
-        if (
-            query.first_possible_run is not None
-            and query.query_class.retry_safety is not api.RetrySafety.SAFE
-            and self.now_us - query.first_possible_run.sent_at_us >= window_us
-        ):
+        repeat_within_us = self.repeat_within_us(query)
+        if repeat_within_us is not None and repeat_within_us <= 0:
             return False
         stale = not self.subscribed and self.now_us - (self.listed_at_us or 0) > (
             self.settings.rules.list_max_age_us or 0
@@ -197,6 +189,19 @@
             and (not query.attempts or self.has_retry_budget())
         )
 
+    def repeat_within_us(self, query: Query) -> int | None:
+        """Return within which time a query that may have run must be sent again, or not at all (rule 2).
+
+        None means that there is no such limit. The time may be over, and is not positive then.
+        """
+        first = query.first_possible_run
+        query_class = query.query_class
+        if first is None or query_class.retry_safety is api.RetrySafety.SAFE:
+            return None
+        is_deduplicated = query_class.retry_safety is api.RetrySafety.DEDUPLICATED
+        window_us = query_class.dedup_window_us if is_deduplicated else 0
+        return first.sent_at_us + window_us - self.now_us
+
     def may_cancel_to_retry(self, query: Query) -> bool:
         """Return whether the attempts in flight may be cancelled in favour of another one."""
         attempts_left = not query.closed and len(query.attempts) < self.settings.limits.max_attempts
--- a/tests/test_proxy.py
+++ b/tests/test_proxy.py
@@ -416,6 +416,28 @@
     assert [line.split()[1] for line in engine.received_lines] == ["00000000000000bb"]
 
 
+# Guards against a load that runs twice because its repeat waited for a connection beyond the window.
+def test_a_repeat_that_waits_for_a_connection_is_not_written_after_the_window(start_proxy, monkeypatch):
+    window_s = 0.3
+    monkeypatch.setitem(sample_config.SETTINGS["classes"][1], "repeatWindowUs", int(window_s * 1e6))
+    may_connect, sent = Event(), []
+
+    def reset_first(verb: str, ref: str) -> bytes | None:
+        sent.append(ref)
+        monkeypatch.setattr(engine_pools, "dial", lambda *args: may_connect.wait() and dial(*args))
+        return None
+
+    proxy, _ = start_proxy(reset_first, reset_first)
+    client = Client(proxy)
+    client.send_request(1, service="load", replay="k")
+    while not any(pool.pending for pool in proxy.engine_pools.pools.values()) or not sent:
+        gevent.sleep(0.001)
+    gevent.sleep(window_s)
+    may_connect.set()
+    stream, code, _ = client.read_answer()
+    assert (stream, len(sent)) == (1, 1) and code != frames.SERVED
+
+
 def test_a_new_engine_at_a_reused_address_gets_connections_of_its_own(start_proxy):
     proxy, (engine, other) = start_proxy(answer_rows, answer_rows)
     client = Client(proxy)
