Bound the search for a statement's data set, and do it only for usable requests

Cause: the statement was split in Python, without a limit, before the fields were checked (0.55 s a request), and all requests read together were handled without a pause.

--- a/hollowhitch/net/client_connection.py
+++ b/hollowhitch/net/client_connection.py
@@ -20,7 +20,6 @@
 from hollowhitch.net.send_queue import SendQueue
 from hollowhitch.net.unread import unread_bytes
 from hollowhitch.protocol import frames
-from hollowhitch.protocol.tables import find_data_set
 
 MAX_QUEUED_BYTES = 256 * 1024  # bytes queued for a client above which its new requests are refused
 READ_PAUSE_BYTES = 512 * 1024  # bytes queued for a client above which nothing more is read from it
@@ -414,8 +413,7 @@
             self._answer(event.stream, host.reject(reason or "client reads too slowly"))
             return
         try:
-            data_set = find_data_set(event.body.decode("utf-8", "replace"))
-            ref, arrival, idempotency_key = frames.parse_query(event, host.request_validator, data_set)
+            ref, arrival, idempotency_key = frames.parse_query(event, host.request_validator)
         except frames.FieldError as e:
             self._answer_bad_request(event.stream, str(e))
             return
--- a/hollowhitch/net/frontend.py
+++ b/hollowhitch/net/frontend.py
@@ -36,7 +36,7 @@
     ) -> None:
         self.config, self.gateway, self.loop_monitor = config, gateway, loop_monitor
         self.lifecycle, self.audit = lifecycle, audit
-        self.arrival_queue = ArrivalQueue()
+        self.arrival_queue = ArrivalQueue(loop_monitor)
         self.request_validator = frames.RequestValidator(config.settings)
         self.open_refs: set[str] = set()  # refs of the open requests
         self.connections: set[ClientConnection] = set()
--- a/hollowhitch/net/receive_times.py
+++ b/hollowhitch/net/receive_times.py
@@ -10,6 +10,7 @@
 
 from __future__ import annotations
 
+import heapq
 import struct
 from collections.abc import Callable
 from dataclasses import dataclass
@@ -162,21 +163,32 @@
 
 
 class ArrivalQueue:
-    """Requests that were read in one iteration of the event loop, handled in order of arrival."""
+    """Requests that were read and not yet handled, in order of arrival.
 
-    def __init__(self) -> None:
-        self._pending: list[tuple[int, int, Callable[[], None]]] = []
+    Handling them yields to other greenlets whenever the event loop is overdue to poll for I/O.
+    """
+
+    def __init__(self, loop_monitor: LoopMonitor) -> None:
+        self._loop_monitor = loop_monitor
+        self._pending: list[tuple[int, int, Callable[[], None]]] = []  # heap
         self._sequence = 0
+        self._is_dispatching = False
 
     def add(self, arrived_at_us: int, handle: Callable[[], None]) -> None:
-        """Schedule `handle` for the end of this loop iteration, in order of `arrived_at_us`."""
-        if not self._pending:
-            gevent.spawn(self._dispatch)
+        """Schedule `handle` for the end of this loop iteration or later, in order of `arrived_at_us`.
+
+        `handle` must neither block nor raise.
+        """
         self._sequence += 1
-        self._pending.append((arrived_at_us, self._sequence, handle))
+        heapq.heappush(self._pending, (arrived_at_us, self._sequence, handle))
+        if not self._is_dispatching:
+            self._is_dispatching = True
+            gevent.spawn(self._dispatch)
 
     def _dispatch(self) -> None:
         gevent.sleep(0)  # lets connections that were accepted in this iteration be read before
-        pending, self._pending = sorted(self._pending), []
-        for _, _, handle in pending:
-            handle()
+        while self._pending:
+            heapq.heappop(self._pending)[2]()
+            if self._loop_monitor.poll_overdue:
+                gevent.sleep(0)
+        self._is_dispatching = False
--- a/hollowhitch/protocol/frames.py
+++ b/hollowhitch/protocol/frames.py
@@ -6,6 +6,7 @@
 
 from __future__ import annotations
 
+import dataclasses
 import hashlib
 import math
 import re
@@ -15,6 +16,7 @@
 
 from hollowhitch.policy.interface import QueryArrived, QueryClass, RetrySafety, Settings
 from hollowhitch.protocol.buffer import ReceiveBuffer
+from hollowhitch.protocol.tables import find_data_set
 
 MIN_LENGTH, MAX_LENGTH = 5, 262_144  # bounds of a frame's length field, which counts type, stream and payload
 LENGTH_FIELD_BYTES = 4
@@ -170,12 +172,11 @@
         return query_class
 
 
-def parse_query(
-    request: Request, validator: RequestValidator, data_set: int
-) -> tuple[str, QueryArrived, str | None]:
+def parse_query(request: Request, validator: RequestValidator) -> tuple[str, QueryArrived, str | None]:
     """Return the id by which engines know the query, the event for the controller, and the idempotency key.
 
-    The event has no id yet. Raise FieldError if a field is missing, unknown or out of bounds.
+    The event has no id yet. Raise FieldError if a field is missing, unknown or out of bounds; the statement
+    is only looked at if all of them are usable.
     """
     fields = request.fields
     ref = _parse_word(fields, "ref", REF)
@@ -197,9 +198,10 @@
             _parse_number(fields, "effort", deadline_ms * query_class.threads * MAX_EFFORT_FACTOR, 0.0) * 1000
         ),
         memory_mb=_parse_number(fields, "need_mb", validator.max_memory_mb, 0.0),
-        data_set=data_set,
+        data_set=0,
         is_retry=fields.get("dup") == "1",
     )
+    arrival = dataclasses.replace(arrival, data_set=find_data_set(request.body))
     return ref, arrival, idempotency_key
 
 
--- a/tests/test_frames.py
+++ b/tests/test_frames.py
@@ -29,13 +29,14 @@
 
 
 def parse(fields: dict[str, str]):
-    return frames.parse_query(frames.Request(1, fields, b""), VALIDATOR, 17)
+    return frames.parse_query(frames.Request(1, fields, b"select 1 from s_17.t"), VALIDATOR)
 
 
 def test_request_is_parsed():
-    (event,) = frames.ClientProtocol().feed(request(7))
-    ref, arrival, idempotency_key = frames.parse_query(event, VALIDATOR, 17)
-    assert (event.stream, event.body, ref, idempotency_key) == (7, b"select 1", VALID_FIELDS["ref"], None)
+    (event,) = frames.ClientProtocol().feed(request(7, body=b"select 1 from s_17.t"))
+    ref, arrival, idempotency_key = frames.parse_query(event, VALIDATOR)
+    assert (event.stream, event.body) == (7, b"select 1 from s_17.t")
+    assert (ref, idempotency_key) == (VALID_FIELDS["ref"], None)
     assert (arrival.expires_in_us, arrival.cost_us, arrival.memory_mb) == (1_500_000, 820_000, 96.0)
     assert arrival.data_set == 17 and not arrival.is_retry and arrival.tenant == "acme"
 
--- a/tests/test_proxy.py
+++ b/tests/test_proxy.py
@@ -28,7 +28,7 @@
 from hollowhitch.net import client_connection, engine_pools, frontend
 from hollowhitch.net.dial import dial
 from hollowhitch.net.loop_monitor import LoopMonitor
-from hollowhitch.net.receive_times import Receiver
+from hollowhitch.net.receive_times import ArrivalQueue, Receiver
 from hollowhitch.net.timers import Timers
 from hollowhitch.protocol import frames
 from hollowhitch.protocol.channel import parse_command
@@ -226,7 +226,7 @@
 def test_an_exception_while_handling_a_request_fails_only_that_request(start_proxy, monkeypatch):
     proxy, _ = start_proxy(answer_rows)
     client = Client(proxy)
-    monkeypatch.setattr(client_connection, "find_data_set", lambda text: 1 / 0)
+    monkeypatch.setattr(frames, "find_data_set", lambda statement: 1 / 0)
     client.send_request(1)
     assert client.read_answer()[:2] == (1, frames.FAILED)
     monkeypatch.undo()
@@ -234,6 +234,28 @@
     assert client.read_answer()[:2] == (2, frames.SERVED)
 
 
+# Guards against the work of looking through a long statement for a request that can't be accepted anyway.
+def test_the_statement_of_an_unusable_request_is_not_looked_at(start_proxy, monkeypatch):
+    monkeypatch.setattr(frames, "find_data_set", lambda statement: 1 / 0)
+    proxy, _ = start_proxy(answer_rows)
+    client = Client(proxy)
+    client.send_request(1, service="nonesuch")
+    assert client.read_answer() == (1, frames.FAILED, b"service 'nonesuch' is unknown")
+
+
+# Guards against a crowd of requests, read at once, that keeps all others waiting while they are handled.
+def test_other_greenlets_run_while_many_requests_are_handled(start_proxy, monkeypatch):
+    monkeypatch.setattr(LoopMonitor, "poll_overdue", True)
+    proxy, _ = start_proxy(answer_nothing)
+    queue, handled, seen = ArrivalQueue(proxy.loop_monitor), [], []
+    for number in (2, 0, 1):
+        queue.add(number, lambda n=number: handled.append(n))
+    while len(handled) < 3:
+        seen.append(list(handled))
+        gevent.sleep(0)
+    assert handled == [0, 1, 2] and [0] in seen and [0, 1] in seen
+
+
 def test_a_late_answer_to_an_old_attempt_is_not_taken_for_that_of_a_new_one(start_proxy):
     """A ref is sent to the same engine again only on another connection.
 
--- a/tests/test_tables.py
+++ b/tests/test_tables.py
@@ -2,6 +2,8 @@
 
 from __future__ import annotations
 
+import tracemalloc
+
 import pytest
 from hypothesis import given
 from hypothesis import strategies as st
@@ -38,25 +40,63 @@
     ],
 )
 def test_data_set_of_a_statement(statement, data_set):
-    assert find_data_set(statement) == data_set
+    assert find_data_set(statement.encode()) == data_set
 
 
 def test_large_statement_is_only_read_up_to_its_first_table():
     """Reading a statement of 256 KB to its end would block the event loop for all other connections."""
-    statement = "select a from s_4.t where x in (" + "1," * 100_000 + "1)"
-    tokens_read = []
-    original_tokenize = tables.tokenize
+    statement = b"select a from s_4.t where x in (" + b"1," * 100_000 + b"1)"
+    data_set, token_count = count_tokens(statement)
+    assert data_set == 4 and token_count < 20
+
+
+def count_tokens(statement: bytes) -> tuple[int, int]:
+    """Return the data set of a statement, and the number of tokens read for it."""
+    tokenizers = []
 
-    def recording_tokenize(text):
-        for token in original_tokenize(text):
-            tokens_read.append(token)
-            yield token
+    class RecordedTokenizer(tables.Tokenizer):
+        def __init__(self, text: bytes) -> None:
+            super().__init__(text)
+            tokenizers.append(self)
 
     with pytest.MonkeyPatch.context() as m:
-        m.setattr(tables, "tokenize", recording_tokenize)
-        assert find_data_set(statement) == 4 and len(tokens_read) < 20
+        m.setattr(tables, "Tokenizer", RecordedTokenizer)
+        data_set = find_data_set(statement)
+    return data_set, tokenizers[0].token_count
+
+
+# Guards against long statements that keep the event loop for half a second each.
+@pytest.mark.parametrize(
+    "statement,data_set",
+    [
+        (b"select " + b"1," * 30_000 + b"1 from sales_1.orders", 1),
+        (b"select " + b"1," * 125_000 + b"1 from sales_1.orders", 0),
+        (b"select " + b"a.b , " * 10_000 + b"c from sales_2.orders", 2),
+        (b"select (" * 30_000, 0),
+        (b"/*" * 100_000, 0),
+        (b"from " * 50_000, 0),
+        (b"a+" * 100_000, 0),
+        (b"insert into staging.t select '" + b"from a_1.b ''" * 20_000 + b"' from s_3.t", 3),
+    ],
+)
+def test_few_tokens_of_a_long_statement_are_looked_at(statement, data_set):
+    found, token_count = count_tokens(statement)
+    assert found == data_set and token_count <= tables.MAX_TOKENS
+
+
+# Guards against a statement of 250 KB that takes 49 to 65 MB while its data set is looked for.
+@pytest.mark.parametrize("quote", [b"'", b'"', b"`", b"e'"])
+def test_a_long_string_takes_little_memory(quote):
+    statement = b"select " + quote + b"\xc3\xa9a" * 80_000 + quote[-1:] + b" from s_5.t"
+    tracemalloc.start()
+    try:
+        assert find_data_set(statement) == 5
+        _, peak_bytes = tracemalloc.get_traced_memory()
+    finally:
+        tracemalloc.stop()
+    assert peak_bytes < 4 * len(statement)
 
 
 @given(st.text(alphabet="from select,.()'\"/*-_1a$;\n", max_size=80))
 def test_any_text_is_accepted(text):
-    assert find_data_set(text) >= 0
+    assert find_data_set(text.encode()) >= 0
