Remember the ids of which an attempt was sent, so that none runs twice

Cause: only the ids of open requests were known. QueryRefs keeps those that may have run until neither a client nor a window for repeats can matter; a second request with one gets an error. It is bounded in time and number.

--- a/hollowhitch/config.py
+++ b/hollowhitch/config.py
@@ -43,6 +43,9 @@
 # share of the remaining memory, and its maximum.
 HELD_MEMORY_SHARE, MAX_HELD_BYTES = 0.5, 32 << 20
 QUERY_STATE_BYTES = 3_000  # memory for the records of one open query
+# Share of the memory held for clients that remembered refs may take in addition, memory for one of them, and
+# their smallest and largest number.
+REFS_MEMORY_SHARE, REF_BYTES, MIN_RECENT_REFS, MAX_RECENT_REFS = 0.2, 100, 1_024, 65_536
 # Top-level keys of the configuration file that this version reads.
 KNOWN_KEYS = frozenset({"name", "listen", "seed", "limits", "channel", "known", "settings", "console"})
 
@@ -68,6 +71,7 @@
     engine_sockets_most: int  # limit on connections to one engine
     engines_sockets_most: int  # limit on connections to all engines together
     held_most: int  # limit on bytes buffered for clients
+    recent_refs_most: int  # number of refs of earlier queries that are remembered
     unread: tuple[str, ...] = ()  # top-level keys of the file that this version ignores
 
 
@@ -161,6 +165,9 @@
         engine_sockets_most=max(2, engine_sockets // ENGINES_WITH_FULL_POOL),
         engines_sockets_most=engine_sockets,
         held_most=held_bytes,
+        recent_refs_most=min(
+            max(int(held_bytes * REFS_MEMORY_SHARE) // REF_BYTES, MIN_RECENT_REFS), MAX_RECENT_REFS
+        ),
         unread=tuple(sorted(root.raw.keys() - KNOWN_KEYS)),
     )
 
--- a/hollowhitch/net/client_connection.py
+++ b/hollowhitch/net/client_connection.py
@@ -16,6 +16,7 @@
 from hollowhitch.lifecycle import ConnectionActivity, ConnectionStage
 from hollowhitch.net.connection_closing import CloseReason, ConnectionClosing, PendingInput
 from hollowhitch.net.loop_monitor import LoopMonitor
+from hollowhitch.net.query_refs import QueryRefs
 from hollowhitch.net.receive_times import ArrivalQueue, Received, Receiver, enable_receive_timestamps
 from hollowhitch.net.send_queue import SendQueue
 from hollowhitch.net.unread import unread_bytes
@@ -49,7 +50,7 @@
     audit: Audit
     arrival_queue: ArrivalQueue
     request_validator: frames.RequestValidator
-    open_refs: set[str]  # refs of the open requests
+    refs: QueryRefs
     statement_bytes: int  # size of the statements of the open requests
 
     def ready(self) -> bool:
@@ -417,13 +418,13 @@
         except frames.FieldError as e:
             self._answer_bad_request(event.stream, str(e))
             return
-        if ref in host.open_refs:  # engines tell open queries apart by their refs
-            self._answer_bad_request(event.stream, "ref is that of an open request")
+        if ref in host.refs:
+            self._answer_bad_request(event.stream, "ref is that of an open or an earlier request")
             return
         stream = event.stream
         query = Query(ref, arrival, idempotency_key, event.body, lambda answer: self._answer(stream, answer))
         self.queries[stream] = query
-        host.open_refs.add(ref)
+        host.refs.opened(ref)
         query.held_bytes = len(event.body)
         host.statement_bytes += query.held_bytes
         host.gateway.submit(query, received_at_us)
@@ -470,7 +471,7 @@
         query = self.queries.pop(stream, None)
         if query is not None:
             self.host.statement_bytes -= query.held_bytes
-            self.host.open_refs.discard(query.ref)
+            self.host.refs.closed(query.ref, query.was_sent, time.monotonic())
         return query
 
     def _close_if_answered(self) -> None:
--- a/hollowhitch/net/engine_pools.py
+++ b/hollowhitch/net/engine_pools.py
@@ -111,6 +111,7 @@
         if attempt.memory_grant_mb > 0:
             fields["workmem"] = str(max(1, round(attempt.memory_grant_mb)))
         self.written_refs.add(query.ref)
+        query.was_sent = True
         return self.protocol.start_request(query.ref, fields, query.statement)
 
     def cancel(self, attempt: Attempt, on_stopped: Callable[[], None]) -> bool:
--- a/hollowhitch/net/frontend.py
+++ b/hollowhitch/net/frontend.py
@@ -10,6 +10,7 @@
 
 from hollowhitch import log
 from hollowhitch.audit import Audit, Rule
+from hollowhitch.clock import US_PER_S
 from hollowhitch.config import Config
 from hollowhitch.gateway import Gateway, Refused
 from hollowhitch.lifecycle import ConnectionStage, Lifecycle, State
@@ -17,6 +18,7 @@
 from hollowhitch.net.connection_closing import CloseReason
 from hollowhitch.net.listener import Listener
 from hollowhitch.net.loop_monitor import LoopMonitor
+from hollowhitch.net.query_refs import QueryRefs
 from hollowhitch.net.receive_times import ArrivalQueue
 from hollowhitch.net.unread import unread_bytes
 from hollowhitch.protocol import frames
@@ -38,7 +40,7 @@
         self.lifecycle, self.audit = lifecycle, audit
         self.arrival_queue = ArrivalQueue(loop_monitor)
         self.request_validator = frames.RequestValidator(config.settings)
-        self.open_refs: set[str] = set()  # refs of the open requests
+        self.refs = QueryRefs(_ref_retention_s(config), config.recent_refs_most)
         self.connections: set[ClientConnection] = set()
         self.statement_bytes = 0  # size of the statements of the open requests
         self._leave_requested = Event()  # set while the lifecycle asks clients to leave
@@ -195,3 +197,9 @@
         """Close all client connections now, with or without open requests."""
         for connection in list(self.connections):
             connection.disconnect(CloseReason.SHUTDOWN)
+
+
+def _ref_retention_s(config: Config) -> float:
+    """Return for how long a ref may matter: while its client may wait, and while engines drop its repeats."""
+    classes = config.settings.classes
+    return max(c.deadline_us * frames.MAX_ALLOW_FACTOR + c.dedup_window_us for c in classes) / US_PER_S
