Ask the kernel whether a client has closed before its requests are sent on

Cause: reads report a close only after all bytes before it. Before each submit and each write the connection now looks at the kernel's TCP state, which knows of the close earlier; and it refuses requests where the close may still wait on the client's side, because bytes were unread for 50 ms and may have filled the window.

--- a/hollowhitch/gateway.py
+++ b/hollowhitch/gateway.py
@@ -77,6 +77,8 @@
     idempotency_key: str | None
     statement: bytes
     send_answer: Callable[[Answer], None]
+    # Ends the query if its client may have left without the process's knowledge. Called before each write.
+    check_client: Callable[[], None] = lambda: None
     expires_at_us: int = 0
     client_gives_up_at_us: int = 0  # when the client stops waiting, a little after `expires_at_us`
     received_at_us: int = 0
--- a/hollowhitch/net/client_connection.py
+++ b/hollowhitch/net/client_connection.py
@@ -16,6 +16,7 @@
 from hollowhitch.lifecycle import ConnectionActivity, ConnectionStage
 from hollowhitch.net.connection_closing import CloseReason, ConnectionClosing, PendingInput
 from hollowhitch.net.loop_monitor import LoopMonitor
+from hollowhitch.net.peer_state import PeerState
 from hollowhitch.net.query_refs import QueryRefs
 from hollowhitch.net.receive_times import ArrivalQueue, Received, Receiver, enable_receive_timestamps
 from hollowhitch.net.send_queue import SendQueue
@@ -83,6 +84,7 @@
         self.protocol = frames.ClientProtocol()
         self.closing = ConnectionClosing()
         self.send_queue = SendQueue(sock, MAX_QUEUED_BYTES, READ_PAUSE_BYTES)
+        self.peer = PeerState(sock)
         self.receiver = Receiver(sock, host.gateway.clock, host.loop_monitor, pending_since_us)
         self.queries: dict[int, Query] = {}  # open queries, by stream
         # Queries with an order key whose answers the kernel has not taken yet, by stream.
@@ -406,12 +408,32 @@
             log.event("fault", "handling a request failed", error=repr(e))
             self._answer(event.stream, Failed())
 
+    def check_client(self) -> None:
+        """End the open requests of a client that has left, or may have left without the process's knowledge.
+
+        Reads alone would tell too late: the close comes after all bytes that the client sent before it.
+        """
+        if self.closed:
+            return
+        if self.peer.has_closed:
+            self._record_close(CloseReason.CLIENT_CLOSED)
+            self.close()
+        elif self.receiver.may_hide_close():
+            for query in list(self.queries.values()):
+                self.host.gateway.terminate_query(query)
+
     def _submit(self, event: frames.Request, received_at_us: int) -> None:
         host = self.host
         if event.stream not in self.protocol.open_streams:  # cancelled, or the client has gone
             return
-        if (reason := host.rejection_reason(len(event.body))) or self.send_queue.full:
-            self._answer(event.stream, host.reject(reason or "client reads too slowly"))
+        self.check_client()
+        if self.closed:
+            return
+        reason = host.rejection_reason(len(event.body))
+        if self.send_queue.full or self.receiver.may_hide_close():
+            reason = reason or "client reads or writes too fast"
+        if reason:
+            self._answer(event.stream, host.reject(reason))
             return
         try:
             ref, arrival, idempotency_key = frames.parse_query(event, host.request_validator)
@@ -422,7 +444,14 @@
             self._answer_bad_request(event.stream, "ref is that of an open or an earlier request")
             return
         stream = event.stream
-        query = Query(ref, arrival, idempotency_key, event.body, lambda answer: self._answer(stream, answer))
+        query = Query(
+            ref,
+            arrival,
+            idempotency_key,
+            event.body,
+            lambda answer: self._answer(stream, answer),
+            self.check_client,
+        )
         self.queries[stream] = query
         host.refs.opened(ref)
         query.held_bytes = len(event.body)
--- a/hollowhitch/net/connection_closing.py
+++ b/hollowhitch/net/connection_closing.py
@@ -18,6 +18,7 @@
 
     IDLE = "idle"
     FRAME_TIMEOUT = "no whole frame in time"
+    CLIENT_CLOSED = "closed by the client"
     INVALID_FRAME = "bytes that are no frame"
     CONNECTION_LIMIT = "no place"
     DRAIN = "drain"
--- a/hollowhitch/net/engine_pools.py
+++ b/hollowhitch/net/engine_pools.py
@@ -90,6 +90,9 @@
         query = attempt.query
         if attempt.ended or self.attempts.get(query.ref) is not attempt:
             return b""
+        query.check_client()
+        if attempt.ended:
+            return b""
         owner = self.pool.owner
         now_us = owner.clock.now_us()
         remaining_ms = (attempt.expires_at_us - now_us) // 1000
--- a/hollowhitch/net/receive_times.py
+++ b/hollowhitch/net/receive_times.py
@@ -25,6 +25,11 @@
 
 SO_TIMESTAMPNS = 35  # Linux socket option that the socket module does not define
 TIMESPEC = struct.Struct("qq")  # seconds and nanoseconds of Unix time
+# Bytes that a peer can always send before this process has to read.
+RECEIVE_WINDOW_BYTES = 32_768
+# Microseconds for which a close may be hidden behind unread bytes: half of the time within which an attempt
+# may still begin after its client has gone.
+MAX_HIDDEN_CLOSE_US = 50_000
 TCP_INFO_BYTES = 104  # bytes of struct tcp_info that are read
 # Field tcpi_last_data_recv of struct tcp_info: milliseconds since the last data arrived, on the kernel's
 # monotonic clock.
@@ -88,6 +93,8 @@
         # Time before which no unread byte can have arrived, and the wall clock's offset then.
         self._backlog_start = (0, 0)
         self._backlog_until_us = 0  # bytes that arrived before this time may still be unread; 0: no backlog
+        # Since when bytes may have been unread all the time, 0: they were all read; and what was read since.
+        self._behind_since_us = self._bytes_read_behind = 0
         if pending_since_us is not None:
             self._paused_since = (
                 min(pending_since_us, loop_monitor.loop_ran_at_us),
@@ -120,16 +127,43 @@
         """
         count, ancillary, _, _ = retry_transient(SystemCall.RECEIVE, self._sock.recvmsg_into, [buffer], 64)
         now_us = self._clock.now_us()
+        self._note_progress(count, len(buffer), now_us)
         has_backlog, self._paused_since = self._backlog_until_us > 0, None
         earliest_at_us, offset_us = self._backlog_start if has_backlog else self._last_loop_run()
         arrived_at_us = self._arrival_time_us(ancillary, now_us, earliest_at_us, offset_us, has_backlog)
         if not has_backlog or not unread_bytes(self._sock):
             self._backlog_until_us = 0
+            if has_backlog:
+                self._behind_since_us = 0
             return Received(count, arrived_at_us, arrived_at_us)
         # The kernel merges waiting segments and keeps only the newest timestamp, so these bytes may have
         # arrived long before that.
         return Received(count, arrived_at_us, earliest_at_us)
 
+    def _note_progress(self, count: int, capacity: int, now_us: int) -> None:
+        if count < capacity:  # the socket had no more
+            self._behind_since_us = 0
+            return
+        if not self._behind_since_us:
+            paused_since_us = self._paused_since[0] if self._paused_since is not None else now_us
+            self._behind_since_us, self._bytes_read_behind = min(paused_since_us, now_us), 0
+        self._bytes_read_behind += count
+
+    def may_hide_close(self) -> bool:
+        """Return whether the peer may have closed the connection long ago without the kernel's knowledge.
+
+        That is so if bytes have been unread for a while, and so many that the peer may have had to wait for
+        space in the receive buffer: what it sent and its close are still on its side then.
+        """
+        since_us = self._behind_since_us
+        if self._paused_since is not None:
+            since_us = min(since_us or self._paused_since[0], self._paused_since[0])
+        if not since_us or self._clock.now_us() - since_us < MAX_HIDDEN_CLOSE_US:
+            return False
+        unread_count = unread_bytes(self._sock)
+        read_count = self._bytes_read_behind if self._behind_since_us else 0
+        return unread_count > 0 and unread_count + read_count >= RECEIVE_WINDOW_BYTES
+
     def _last_loop_run(self) -> tuple[int, int]:
         return self._loop_monitor.loop_ran_at_us, self._loop_monitor.clock_offset_us
 
