Limit the silence within a frame, not its length in time, and skip what is given up

Cause: a whole frame had 2 s, and one given up counted as a protocol violation, after which all input is dropped. Change: 2 s without a byte, 30 s in all; the request is then refused and its rest skipped, so the parser stays in step with the client and everything behind it is read. Without another open request the connection is closed as before.

--- a/hollowhitch/net/client_connection.py
+++ b/hollowhitch/net/client_connection.py
@@ -26,7 +26,8 @@
 MAX_QUEUED_BYTES = 256 * 1024  # bytes queued for a client above which its new requests are refused
 READ_PAUSE_BYTES = 512 * 1024  # bytes queued for a client above which nothing more is read from it
 IDLE_TIMEOUT_S = 30.0  # seconds without a byte while no request is open, or without progress of a write
-FRAME_TIMEOUT_S = 2.0  # seconds from connecting, or from a frame's first byte, until the frame is complete
+FRAME_TIMEOUT_S = 2.0  # seconds without a byte within a frame, or before the first one
+MAX_FRAME_S = 30.0  # seconds from a frame's first byte until the frame is complete
 FIRST_REQUEST_GRACE_S = 0.25  # seconds after connecting in which a first request is probably in transit
 # Seconds for the client to read the last answers and close, after the write side is shut down.
 LINGER_S = 0.5
@@ -39,6 +40,7 @@
 MAX_DELAY_WITH_OPEN_S = 0.05
 DISCARD_INTERVAL_S = 0.05  # seconds between reads of input that is discarded
 LARGE_FRAME_BYTES = 8192  # frames above this size are buffered only if the memory limit allows it
+_FRAME_TIMEOUT_TEXT = CloseReason.FRAME_TIMEOUT.value
 # Size in bytes and number of the reads that discard unread bytes before a socket is closed.
 DISCARD_READ_BYTES, MAX_DISCARD_READS = 65_536, 16
 
@@ -94,6 +96,7 @@
         # Times in monotonic seconds.
         self.opened_at_s = time.monotonic()
         self.last_active_at_s = self.opened_at_s  # when the last byte was read or the last answer was queued
+        self.last_read_at_s = self.opened_at_s  # when the last byte was read, or a frame was given up
         self.frame_started_at_s = self.opened_at_s  # when the first byte of the current frame was read
         self.last_request_at_s: float | None = None
         self.last_answer_at_s: float | None = None
@@ -162,7 +165,7 @@
         for query in list(self.queries.values()):
             self.host.gateway.terminate_query(query)
         if len(self.protocol.buffer) and not self.protocol.broken and not unread_bytes(self.sock):
-            self._handle_event(self.protocol.abort(CloseReason.FRAME_TIMEOUT.value))
+            self._handle_event(self.protocol.abort(_FRAME_TIMEOUT_TEXT))
 
     def close(self) -> None:
         """Close the connection now, and drop its open requests, because no client waits for them."""
@@ -271,7 +274,8 @@
             ):  # sent before the client noticed the close: the client sends it again
                 self._throttle(False)
                 continue
-            self.last_active_at_s, unusable_before = time.monotonic(), self.unusable_frame_count
+            self.last_active_at_s = self.last_read_at_s = time.monotonic()
+            unusable_before = self.unusable_frame_count
             if not len(protocol.buffer):
                 self.frame_started_at_s = self.last_active_at_s
             events = protocol.buffer_updated(received.byte_count, self._may_buffer)
@@ -328,27 +332,40 @@
             self.receiver.pause()
             gevent.sleep(0)
 
-    def timeout_reason(self, now_s: float) -> CloseReason | None:
-        """Return why the connection has timed out, or None if it has not. `now_s` is in monotonic seconds.
+    @property
+    def _is_within_frame(self) -> bool:
+        return len(self.protocol.buffer) > 0 or self.protocol.bytes_to_skip > 0
+
+    def enforce_timeouts(self, now_s: float) -> None:
+        """Close the connection, or give up its incomplete frame, if its client has been silent for too long.
 
         A client may be silent for long between requests, but not before its first frame or within a frame.
+        `now_s` is in monotonic seconds.
         """
-        if self.protocol.broken or self.closing.is_write_shut:
-            return None
-        if not self.has_received_frame or len(self.protocol.buffer) or self.protocol.bytes_to_skip:
-            return CloseReason.FRAME_TIMEOUT if now_s - self.frame_started_at_s > FRAME_TIMEOUT_S else None
+        if self.protocol.broken or self.closing.is_write_shut or unread_bytes(self.sock):
+            return  # with unread bytes, this process is late to read, not the client to send
+        if not self.has_received_frame or self._is_within_frame:
+            is_too_long = self._is_within_frame and now_s - self.frame_started_at_s > MAX_FRAME_S
+            if is_too_long or now_s - self.last_read_at_s > FRAME_TIMEOUT_S:
+                self._give_up_frame(now_s)
+            return
         is_idle = not self.is_closing and not self.protocol.open_streams and self.send_queue.idle
-        return CloseReason.IDLE if is_idle and now_s - self.last_active_at_s > IDLE_TIMEOUT_S else None
-
-    def handle_timeout(self, reason: CloseReason) -> None:
-        """Close the connection after a timeout, unless the client has sent bytes that are still unread."""
-        if unread_bytes(self.sock):
-            return  # this process is late to read, not the client to send
-        if reason is CloseReason.IDLE:
-            self.close_when_idle(reason)
-        else:
-            self._record_close(reason)
-            self._handle_event(self.protocol.abort(reason.value))
+        if is_idle and now_s - self.last_active_at_s > IDLE_TIMEOUT_S:
+            self.close_when_idle(CloseReason.IDLE)
+
+    def _give_up_frame(self, now_s: float) -> None:
+        """Refuse the request that is not written in time; close the connection if there is nothing to refuse.
+
+        The rest of the request is skipped if it still arrives. While other requests are open, the connection
+        stays open, because the client may still write requests and cancellations.
+        """
+        self.last_read_at_s = now_s
+        event = None if self.protocol.bytes_to_skip else self.protocol.skip_frame(_FRAME_TIMEOUT_TEXT)
+        if event is not None:
+            self._handle_event(event)
+        elif not self.protocol.open_streams:
+            self._record_close(CloseReason.FRAME_TIMEOUT)
+            self._handle_event(self.protocol.abort(_FRAME_TIMEOUT_TEXT))
 
     def eviction_rank(self, now_s: float) -> int | None:
         """Return the connection's rank when connections are closed at the connection limit, lowest first.
--- a/hollowhitch/net/frontend.py
+++ b/hollowhitch/net/frontend.py
@@ -86,8 +86,7 @@
             gevent.sleep(SWEEP_INTERVAL_S)
             now_s = time.monotonic()
             for connection in list(self.connections):
-                if reason := connection.timeout_reason(now_s):
-                    connection.handle_timeout(reason)
+                connection.enforce_timeouts(now_s)
 
     def _make_room(self) -> bool:
         """Return whether one more connection is allowed, after closing some if the limit is reached.
--- a/hollowhitch/protocol/frames.py
+++ b/hollowhitch/protocol/frames.py
@@ -265,10 +265,7 @@
                 events.append(self._fail(f"a frame of length {length}"))
             elif len(self.buffer) < 4 + length:
                 if len(self.buffer) >= HEADER.size and not may_buffer(length):
-                    _, frame_type, stream = HEADER.unpack(self.buffer.peek(0, HEADER.size))
-                    self.bytes_to_skip = 4 + length
-                    self._discard_skipped()
-                    events.append(self._handle_unbuffered(frame_type, stream, length))
+                    events.append(self.skip_frame("no memory to buffer the request"))
                 break
             else:
                 _, frame_type, stream = HEADER.unpack(self.buffer.read(HEADER.size))
@@ -290,14 +287,20 @@
         self.buffer.consume(size)
         self.bytes_to_skip -= size
 
-    def _handle_unbuffered(self, frame_type: int, stream: int, length: int) -> FrameEvent:
-        """Return the event of a frame of which only the header is read.
+    def skip_frame(self, over_limit_reason: str) -> FrameEvent | None:
+        """Discard the incomplete frame, now and as the rest of it arrives, and return its event.
 
-        Requests are refused, which is harmless. Frames of other types are never so long, so they are invalid.
+        A request is refused, which is harmless. Frames of other types are never so long, so they are invalid.
+        Return None, and discard nothing, if less than the frame's header has arrived.
         """
+        if len(self.buffer) < HEADER.size:
+            return None
+        length, frame_type, stream = HEADER.unpack(self.buffer.peek(0, HEADER.size))
+        self.bytes_to_skip = LENGTH_FIELD_BYTES + length
+        self._discard_skipped()
         if frame_type != REQUEST:
             return self._fail(f"a frame of type {frame_type} and length {length}")
-        return self._handle_request(stream, None)
+        return self._handle_request(stream, None, over_limit_reason)
 
     def abort(self, reason: str) -> ProtocolViolation:
         """Break the connection of a client that does not complete a frame; drop the buffered bytes."""
@@ -324,8 +327,8 @@
             return ReadinessCheck(stream)
         return self._fail(f"a frame of type {frame_type}")
 
-    def _handle_request(self, stream: int, payload: bytes | None) -> FrameEvent:
-        """Return the event of a request; `payload` is None where there was no memory to buffer it."""
+    def _handle_request(self, stream: int, payload: bytes | None, refusal_reason: str = "") -> FrameEvent:
+        """Return the event of a request; `payload` is None if it is refused for `refusal_reason`."""
         if stream == 0:
             return self._fail("a request on stream 0")
         if stream in self.open_streams or stream in self._used_streams:
@@ -335,7 +338,7 @@
         if limit_reached:
             return BadRequest(stream, f"over {MAX_OPEN_REQUESTS} requests are open on this connection", True)
         if payload is None:
-            return BadRequest(stream, "no memory to buffer the request", True)
+            return BadRequest(stream, refusal_reason, True)
         try:
             fields, end = parse_fields(payload)
         except FieldError as e:
