Count everything that clients make the process hold before it is held

Cause: only accepted statements, buffers and queued answers counted. Requests between read and turn, their fields (30 KB for a head of 2 KB), connections and small queued frames did not, 20 MB were assumed for a process of 26, and each check added up all connections. Change: MemoryBudget counts in constant time and before; incomplete frames may take half of it; requests wait as received and only the protocol's fields are kept; one that waited 0.5 s is refused, which is quicker than to start it; the number of connections follows from the memory too; silent and slow ones are closed first; skipped input goes to one shared buffer. What is held is thus known before it exists, so a crowd can't pass the limit.

--- a/hollowhitch/config.py
+++ b/hollowhitch/config.py
@@ -38,11 +38,14 @@
 MIN_SOCKETS = 32  # smallest accepted `limits.sockets`
 # Memory in megabytes that the process needs without load, and the minimum that is assumed to remain for its
 # load, even where `limits.memory_mb` leaves less.
-BASE_MEMORY_MB, MIN_REMAINING_MB = 20, 4
-# Limit on the bytes buffered for clients, which are statements, incomplete frames and unwritten answers: its
-# share of the remaining memory, and its maximum.
-HELD_MEMORY_SHARE, MAX_HELD_BYTES = 0.5, 32 << 20
+BASE_MEMORY_MB, MIN_REMAINING_MB = 27, 4
+# Limit on the bytes held for clients, which are requests, incomplete frames and unwritten answers: its share
+# of the remaining memory, and its maximum.
+HELD_MEMORY_SHARE, MAX_HELD_BYTES = 0.4, 32 << 20
+# Share of the remaining memory for the client connections themselves, and the memory of one, with its buffer.
+CONNECTIONS_MEMORY_SHARE, CONNECTION_BYTES = 0.5, 28 << 10
 QUERY_STATE_BYTES = 3_000  # memory for the records of one open query
+MIN_OPEN_QUERIES = 1_024  # smallest limit on open queries that follows from the memory
 # Share of the memory held for clients that remembered refs may take in addition, memory for one of them, and
 # their smallest and largest number.
 REFS_MEMORY_SHARE, REF_BYTES, MIN_RECENT_REFS, MAX_RECENT_REFS = 0.2, 100, 1_024, 65_536
@@ -70,7 +73,7 @@
     callers_most: int  # limit on operators' connections
     engine_sockets_most: int  # limit on connections to one engine
     engines_sockets_most: int  # limit on connections to all engines together
-    held_most: int  # limit on bytes buffered for clients
+    held_most: int  # limit on bytes held for clients
     recent_refs_most: int  # number of refs of earlier queries that are remembered
     unread: tuple[str, ...] = ()  # top-level keys of the file that this version ignores
 
@@ -135,9 +138,8 @@
     if sockets < MIN_SOCKETS:
         raise ConfigError(f"limits.sockets must be at least {MIN_SOCKETS}, not {sockets}")
     memory_mb = _parse_count(root.section("limits", {}), "memory_mb")
-    held_bytes = min(
-        int(max(memory_mb - BASE_MEMORY_MB, MIN_REMAINING_MB) * HELD_MEMORY_SHARE * (1 << 20)), MAX_HELD_BYTES
-    )
+    remaining_bytes = max(memory_mb - BASE_MEMORY_MB, MIN_REMAINING_MB) << 20
+    held_bytes = min(int(remaining_bytes * HELD_MEMORY_SHARE), MAX_HELD_BYTES)
     engine_sockets = int(sockets * ENGINE_SOCKETS_SHARE)
     known, cursor = _parse_known(root.section("known", {}))
     console = _parse_console(root, env)
@@ -158,8 +160,13 @@
         dial_timeout_us=_parse_count(bounds, "dialTimeoutUs"),
         keepalive_us=_parse_count(bounds, "keepaliveUs"),
         streams_per_connection=_parse_count(bounds, "streamsPerConn"),
-        open_most=min(_parse_count(bounds, "maxOpen"), held_bytes // QUERY_STATE_BYTES),
-        clients_most=sockets - engine_sockets - min(RESERVED_SOCKETS, sockets // 4) - callers_most,
+        open_most=min(
+            _parse_count(bounds, "maxOpen"), max(held_bytes // QUERY_STATE_BYTES, MIN_OPEN_QUERIES)
+        ),
+        clients_most=min(
+            sockets - engine_sockets - min(RESERVED_SOCKETS, sockets // 4) - callers_most,
+            int(remaining_bytes * CONNECTIONS_MEMORY_SHARE) // CONNECTION_BYTES,
+        ),
         callers_most=callers_most,
         # An engine's pool may exceed this by two connections, for queries that lost their connection.
         engine_sockets_most=max(2, engine_sockets // ENGINES_WITH_FULL_POOL),
--- a/hollowhitch/console/server.py
+++ b/hollowhitch/console/server.py
@@ -5,6 +5,7 @@
 import contextlib
 import time
 from collections.abc import Callable
+from functools import partial
 from http import HTTPStatus
 
 import gevent
@@ -39,7 +40,7 @@
         clock: Clock,
     ) -> None:
         self._operations, self._max_connections, self._metrics = operations, max_connections, metrics
-        self._listener = Listener(address, self._serve, metrics, clock)
+        self._listener = Listener(address, self._admit, metrics, clock)
         self._connections: dict[OperatorConnection, None] = {}  # an ordered set, the oldest first
 
     def start(self) -> None:
@@ -57,11 +58,14 @@
         for connection in list(self._connections):
             connection.close()
 
-    def _serve(self, sock: socket.socket, pending_since_us: int | None) -> None:
+    def _admit(self, sock: socket.socket, _: int | None) -> Callable[[], None]:
         if len(self._connections) >= self._max_connections:
             self._evict()
         connection = OperatorConnection(sock)
         self._connections[connection] = None
+        return partial(self._serve, connection)
+
+    def _serve(self, connection: OperatorConnection) -> None:
         try:
             response = connection.read_request(self._answer)
             if response is not None:
--- a/hollowhitch/gateway.py
+++ b/hollowhitch/gateway.py
@@ -91,7 +91,6 @@
     watchdog: Timer | None = None
     has_lost_connection: bool = False  # a connection broke while carrying the query, perhaps because of it
     was_sent: bool = False  # an attempt was written to an engine, so the query may have run
-    held_bytes: int = 0  # bytes that count as held for the query until it is finished
 
     @property
     def estimated_work_us(self) -> int:
--- a/hollowhitch/net/client_connection.py
+++ b/hollowhitch/net/client_connection.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import contextlib
+import enum
 import time
 from collections.abc import Callable
 from typing import Protocol
@@ -12,26 +13,33 @@
 
 from hollowhitch import log
 from hollowhitch.audit import Audit, Rule
+from hollowhitch.config import QUERY_STATE_BYTES
 from hollowhitch.gateway import Answer, Failed, Gateway, Query, Refused, Served
 from hollowhitch.lifecycle import ConnectionActivity, ConnectionStage
 from hollowhitch.net.connection_closing import CloseReason, ConnectionClosing, PendingInput
 from hollowhitch.net.loop_monitor import LoopMonitor
+from hollowhitch.net.memory_budget import ConnectionMemory, MemoryBudget
 from hollowhitch.net.peer_state import PeerState
 from hollowhitch.net.query_refs import QueryRefs
 from hollowhitch.net.receive_times import ArrivalQueue, Received, Receiver, enable_receive_timestamps
 from hollowhitch.net.send_queue import SendQueue
 from hollowhitch.net.unread import unread_bytes
 from hollowhitch.protocol import frames
+from hollowhitch.protocol.buffer import MIN_FREE_BYTES
 
+# Seconds for which a request may wait for its turn. Refusing the others is quicker than to start them, so
+# that thousands of requests at once do not delay those that come after them.
+MAX_QUEUED_S = 0.5
 MAX_QUEUED_BYTES = 256 * 1024  # bytes queued for a client above which its new requests are refused
 READ_PAUSE_BYTES = 512 * 1024  # bytes queued for a client above which nothing more is read from it
 IDLE_TIMEOUT_S = 30.0  # seconds without a byte while no request is open, or without progress of a write
 FRAME_TIMEOUT_S = 2.0  # seconds without a byte within a frame, or before the first one
 MAX_FRAME_S = 30.0  # seconds from a frame's first byte until the frame is complete
+STALLED_FRAME_S = 0.5  # seconds without a byte after which a frame is given up at the connection limit
+RECENTLY_ACTIVE_S = 1.0  # seconds after its last byte or answer for which a connection counts as active
 FIRST_REQUEST_GRACE_S = 0.25  # seconds after connecting in which a first request is probably in transit
 # Seconds for the client to read the last answers and close, after the write side is shut down.
 LINGER_S = 0.5
-FRAMES_PER_YIELD = 32  # number of frames of one connection that are handled before other greenlets run
 # Seconds before the next read for each unusable frame that the client has sent so far, and the longest such
 # delay.
 UNUSABLE_FRAME_DELAY_S, MAX_UNUSABLE_FRAME_DELAY_S = 0.01, 0.5
@@ -39,12 +47,23 @@
 # noticed within 0.1 s.
 MAX_DELAY_WITH_OPEN_S = 0.05
 DISCARD_INTERVAL_S = 0.05  # seconds between reads of input that is discarded
-LARGE_FRAME_BYTES = 8192  # frames above this size are buffered only if the memory limit allows it
+LARGE_FRAME_BYTES = 4096  # frames above this size are buffered only if the memory limit allows it
 _FRAME_TIMEOUT_TEXT = CloseReason.FRAME_TIMEOUT.value
 # Size in bytes and number of the reads that discard unread bytes before a socket is closed.
 DISCARD_READ_BYTES, MAX_DISCARD_READS = 65_536, 16
 
 
+class EvictionRank(enum.IntEnum):
+    """Ranks in which connections are closed at the connection limit, first the lowest."""
+
+    CLOSING = 0
+    SILENT = 1  # without a frame, or within one, for too long
+    IDLE = 2  # between requests for a while
+    SLOW_FIRST_FRAME = 3  # still writing its first frame after a while
+    RECENTLY_ACTIVE = 4  # between requests
+    NEW = 5  # its first request may be in transit
+
+
 class ConnectionHost(Protocol):
     """The frontend that owns a connection, as the connection uses it."""
 
@@ -54,20 +73,18 @@
     arrival_queue: ArrivalQueue
     request_validator: frames.RequestValidator
     refs: QueryRefs
-    statement_bytes: int  # size of the statements of the open requests
+    memory: MemoryBudget
+    discarded_input: bytearray  # space into which any connection reads input that nobody looks at
 
     def ready(self) -> bool:
         """Return whether this process is ready to serve."""
 
-    def rejection_reason(self, size: int) -> str:
-        """Return why a request of `size` bytes cannot be accepted now; empty if it can."""
+    def rejection_reason(self) -> str:
+        """Return why a request cannot be accepted now, apart from its memory; empty if it can."""
 
     def reject(self, reason: str) -> Refused:
         """Record that a request was not accepted, and return its answer."""
 
-    def has_memory_for(self, size: int) -> bool:
-        """Return whether `size` more bytes can be held for clients."""
-
     def connection_closed(self, connection: ClientConnection) -> None:
         """Note that the connection is closed."""
 
@@ -85,7 +102,8 @@
         self.host, self.sock = host, sock
         self.protocol = frames.ClientProtocol()
         self.closing = ConnectionClosing()
-        self.send_queue = SendQueue(sock, MAX_QUEUED_BYTES, READ_PAUSE_BYTES)
+        self.memory = ConnectionMemory(host.memory)
+        self.send_queue = SendQueue(sock, MAX_QUEUED_BYTES, READ_PAUSE_BYTES, budget=host.memory)
         self.peer = PeerState(sock)
         self.receiver = Receiver(sock, host.gateway.clock, host.loop_monitor, pending_since_us)
         self.queries: dict[int, Query] = {}  # open queries, by stream
@@ -101,6 +119,7 @@
         self.last_request_at_s: float | None = None
         self.last_answer_at_s: float | None = None
         self.unusable_frame_count = 0
+        self._throttled_frame_count = 0  # unusable frames for which the next reads were delayed
         self._writer: gevent.Greenlet | None = None
 
     def run(self) -> None:
@@ -165,6 +184,7 @@
         for query in list(self.queries.values()):
             self.host.gateway.terminate_query(query)
         if len(self.protocol.buffer) and not self.protocol.broken and not unread_bytes(self.sock):
+            self.memory.release_frame()
             self._handle_event(self.protocol.abort(_FRAME_TIMEOUT_TEXT))
 
     def close(self) -> None:
@@ -176,6 +196,7 @@
             self._remove_query(stream)
             self.host.gateway.client_left(query)
         self.protocol.open_streams.clear()  # keeps requests in the arrival queue from being submitted
+        self.memory.release_all()
         self.send_queue.close()
         # The writer's traceback would otherwise reference this connection until a garbage collection.
         writer, self._writer = self._writer, None
@@ -256,39 +277,52 @@
     # Reading
 
     def _read(self) -> None:
-        protocol = self.protocol
         while not self.closed:
             self._wait_for_slow_client()
             try:
-                with (
-                    protocol.buffer.reserve() as free_space,
-                    free_space[: self._read_size(len(free_space))] as part,
-                ):
-                    received = self.receiver.receive(part)
+                received = self._receive()
             except TimeoutError:
                 continue  # the frontend's sweep closes connections that are silent for too long
             if received.byte_count == 0:
                 return
-            if (
-                self.closing.is_write_shut
-            ):  # sent before the client noticed the close: the client sends it again
-                self._throttle(False)
-                continue
-            self.last_active_at_s = self.last_read_at_s = time.monotonic()
-            unusable_before = self.unusable_frame_count
-            if not len(protocol.buffer):
-                self.frame_started_at_s = self.last_active_at_s
-            events = protocol.buffer_updated(received.byte_count, self._may_buffer)
-            if events:
-                self.has_received_frame, self.frame_started_at_s = True, self.last_active_at_s
-            for event_count, event in enumerate(events, 1):
-                self._handle_event(event, received)
-                if event_count % FRAMES_PER_YIELD == 0:
-                    self.receiver.pause()
-                    gevent.sleep(0)
+            if not self.closing.is_write_shut:  # otherwise the client will see the close, and send it again
+                self.last_active_at_s = self.last_read_at_s
+                self._handle_frames(received)
             if self.is_closing:
                 self.send_queue.wake()  # this may have been the last input that its close waited for
-            self._throttle(self.unusable_frame_count > unusable_before)
+            self._throttle()
+
+    def _receive(self) -> Received:
+        """Read once, into the buffer of incomplete frames unless the input is to be discarded."""
+        protocol = self.protocol
+        if self.closing.is_write_shut or protocol.broken or protocol.bytes_to_skip:
+            size = protocol.bytes_to_skip or len(self.host.discarded_input)
+            with memoryview(self.host.discarded_input)[:size] as part:
+                received = self.receiver.receive(part)
+            self.last_read_at_s = time.monotonic()
+            protocol.skip(received.byte_count)
+            return received
+        min_bytes = protocol.missing_bytes() if self.memory.has_reserved_frame else MIN_FREE_BYTES
+        with (
+            protocol.buffer.reserve(max(min_bytes, MIN_FREE_BYTES)) as free_space,
+            free_space[: self._read_size(len(free_space))] as part,
+        ):
+            received = self.receiver.receive(part)
+        self.last_read_at_s = time.monotonic()
+        if not len(protocol.buffer):
+            self.frame_started_at_s = self.last_read_at_s
+        protocol.commit(received.byte_count)
+        return received
+
+    def _handle_frames(self, received: Received) -> None:
+        """Handle the frames that are complete, and let other greenlets run whenever the loop is overdue."""
+        while not self.closed and (event := self.protocol.next_event(self._may_buffer)) is not None:
+            self.has_received_frame, self.frame_started_at_s = True, self.last_read_at_s
+            self.memory.release_frame()
+            self._handle_event(event, received)
+            if len(self.protocol.buffer) and self.host.loop_monitor.poll_overdue:
+                self.receiver.pause()
+                gevent.sleep(0)
 
     def _read_size(self, free_bytes: int) -> int:
         """Return how many bytes to read at once, at most.
@@ -296,12 +330,10 @@
         With a backlog, one frame is read at once, so that each frame gets its own arrival time. Otherwise all
         free space in the buffer is used.
         """
-        if self.closing.is_write_shut or self.protocol.broken or not self.receiver.has_backlog:
-            return free_bytes
-        return self.protocol.missing_bytes()
+        return self.protocol.missing_bytes() if self.receiver.has_backlog else free_bytes
 
     def _may_buffer(self, size: int) -> bool:
-        return size <= LARGE_FRAME_BYTES or self.host.has_memory_for(size)
+        return size <= LARGE_FRAME_BYTES or self.memory.reserve_frame(size)
 
     def _wait_for_slow_client(self) -> None:
         """Stop reading while too many bytes are queued for the client, which bounds the memory used for it.
@@ -315,11 +347,10 @@
                 self.host.gateway.terminate_query(query)
             self.send_queue.wait_below_threshold()
 
-    def _throttle(self, is_unusable: bool) -> None:
-        """Wait before the next read if this client's input would otherwise delay other clients.
-
-        `is_unusable` is whether the last read completed an unusable frame.
-        """
+    def _throttle(self) -> None:
+        """Wait before the next read if this client's input would otherwise delay other clients."""
+        is_unusable = self.unusable_frame_count > self._throttled_frame_count
+        self._throttled_frame_count = self.unusable_frame_count
         if self.protocol.broken or self.closing.is_write_shut:  # all further input is discarded
             self.receiver.pause()
             gevent.sleep(DISCARD_INTERVAL_S)
@@ -360,6 +391,7 @@
         stays open, because the client may still write requests and cancellations.
         """
         self.last_read_at_s = now_s
+        self.memory.release_frame()
         event = None if self.protocol.bytes_to_skip else self.protocol.skip_frame(_FRAME_TIMEOUT_TEXT)
         if event is not None:
             self._handle_event(event)
@@ -367,20 +399,26 @@
             self._record_close(CloseReason.FRAME_TIMEOUT)
             self._handle_event(self.protocol.abort(_FRAME_TIMEOUT_TEXT))
 
-    def eviction_rank(self, now_s: float) -> int | None:
-        """Return the connection's rank when connections are closed at the connection limit, lowest first.
+    def eviction_rank(self, now_s: float) -> EvictionRank | None:
+        """Return the connection's rank when connections are closed at the connection limit.
 
-        The ranks are: 0 closing already, 1 without a frame for too long, 2 idle between requests, 3 so new
-        that a first request may be in transit. None means that the connection must not be closed, because the
-        client waits for an answer. `now_s` is in monotonic seconds.
+        None means that the connection must not be closed, because the client waits for an answer or is
+        writing a request. `now_s` is in monotonic seconds.
         """
         if self.closing.is_write_shut or (self.is_closing and not self.protocol.open_streams):
-            return 0
-        if self.protocol.open_streams or not self.send_queue.idle:
+            return EvictionRank.CLOSING
+        if self.protocol.open_streams or not self.send_queue.idle or unread_bytes(self.sock):
             return None
+        if self._is_within_frame:
+            if now_s - self.last_read_at_s > STALLED_FRAME_S:
+                return EvictionRank.SILENT
+            is_slow = not self.has_received_frame and now_s - self.frame_started_at_s > RECENTLY_ACTIVE_S
+            return EvictionRank.SLOW_FIRST_FRAME if is_slow else None
         if not self.has_received_frame:
-            return 1 if now_s - self.frame_started_at_s > FIRST_REQUEST_GRACE_S else 3
-        return 2
+            is_silent = now_s - self.frame_started_at_s > FIRST_REQUEST_GRACE_S
+            return EvictionRank.SILENT if is_silent else EvictionRank.NEW
+        was_active = now_s - self.last_active_at_s < RECENTLY_ACTIVE_S
+        return EvictionRank.RECENTLY_ACTIVE if was_active else EvictionRank.IDLE
 
     # Requests and answers
 
@@ -388,13 +426,10 @@
         match event:
             case frames.Request():
                 assert received is not None
-                self.last_request_at_s = time.monotonic()
-                self.host.arrival_queue.add(
-                    received.arrived_at_us, lambda: self._start_request(event, received.earliest_at_us)
-                )
+                self._queue_request(event, received)
             case frames.Cancel():
                 query = self._remove_query(event.stream)
-                self.protocol.close_stream(event.stream)
+                self._close_stream(event.stream)
                 if query is not None:
                     self.host.gateway.client_left(query)
                 self._answer_taken(event.stream)
@@ -405,10 +440,8 @@
             case frames.BadRequest():
                 self.last_request_at_s = time.monotonic()
                 self.unusable_frame_count += 1
-                if event.over_limit:
-                    self._answer(event.stream, self.host.reject("crowded"))
-                else:
-                    self._answer_bad_request(event.stream, event.reason)
+                log.event("client", "request not accepted", reason=event.reason)
+                self._answer(event.stream, self.host.reject("crowded"))
             case frames.DuplicateStream():
                 self.unusable_frame_count += 1
                 log.event("client", "request on a stream that was used before", stream=event.stream)
@@ -418,9 +451,23 @@
                 self.send_queue.put(_format_error(0, event.reason))
                 self._close_if_answered()
 
-    def _start_request(self, event: frames.Request, received_at_us: int) -> None:
+    def _queue_request(self, event: frames.Request, received: Received) -> None:
+        """Let the request wait for its turn among those of all connections, or refuse it without memory."""
+        self.last_request_at_s = time.monotonic()
+        if not self.memory.hold_request(event.stream, len(event.payload) + QUERY_STATE_BYTES):
+            self._answer(event.stream, self.host.reject("crowded"))
+            return
+        queued_at_s = time.monotonic()
+        self.host.arrival_queue.add(
+            received.arrived_at_us, lambda: self._start_request(event, received.earliest_at_us, queued_at_s)
+        )
+
+    def _start_request(self, event: frames.Request, received_at_us: int, queued_at_s: float) -> None:
         try:
-            self._submit(event, received_at_us)
+            if time.monotonic() - queued_at_s > MAX_QUEUED_S:
+                self._answer(event.stream, self.host.reject("crowded"))
+            else:
+                self._submit(event, received_at_us)
         except Exception as e:  # a bug in the proxy fails only this request, which still gets its answer
             log.event("fault", "handling a request failed", error=repr(e))
             self._answer(event.stream, Failed())
@@ -446,39 +493,37 @@
         self.check_client()
         if self.closed:
             return
-        reason = host.rejection_reason(len(event.body))
+        reason = host.rejection_reason()
         if self.send_queue.full or self.receiver.may_hide_close():
             reason = reason or "client reads or writes too fast"
         if reason:
             self._answer(event.stream, host.reject(reason))
             return
         try:
-            ref, arrival, idempotency_key = frames.parse_query(event, host.request_validator)
+            parsed = frames.parse_query(event.payload, host.request_validator)
         except frames.FieldError as e:
             self._answer_bad_request(event.stream, str(e))
             return
-        if ref in host.refs:
+        if parsed.ref in host.refs:
             self._answer_bad_request(event.stream, "ref is that of an open or an earlier request")
             return
         stream = event.stream
         query = Query(
-            ref,
-            arrival,
-            idempotency_key,
-            event.body,
+            parsed.ref,
+            parsed.arrival,
+            parsed.idempotency_key,
+            parsed.statement,
             lambda answer: self._answer(stream, answer),
             self.check_client,
         )
         self.queries[stream] = query
-        host.refs.opened(ref)
-        query.held_bytes = len(event.body)
-        host.statement_bytes += query.held_bytes
+        host.refs.opened(parsed.ref)
         host.gateway.submit(query, received_at_us)
 
     def _answer_bad_request(self, stream: int, reason: str) -> None:
         log.event("client", "bad request", reason=reason)
         self.unusable_frame_count += 1
-        self.protocol.close_stream(stream)
+        self._close_stream(stream)
         self.send_queue.put(_format_error(stream, reason))
         self._close_if_answered()
 
@@ -487,8 +532,10 @@
         query = self._remove_query(stream)
         if stream not in self.protocol.open_streams:
             return
-        self.protocol.close_stream(stream)
+        self._close_stream(stream)
         self.last_active_at_s = self.last_answer_at_s = time.monotonic()
+        if self.send_queue.full and self.host.memory.is_exhausted:
+            answer = Failed()  # a client that does not read its results cannot have more of them
         match answer:
             case Served():
                 frame = frames.format_answer(stream, frames.SERVED, {}, answer.body)
@@ -516,10 +563,13 @@
     def _remove_query(self, stream: int) -> Query | None:
         query = self.queries.pop(stream, None)
         if query is not None:
-            self.host.statement_bytes -= query.held_bytes
             self.host.refs.closed(query.ref, query.was_sent, time.monotonic())
         return query
 
+    def _close_stream(self, stream: int) -> None:
+        self.protocol.close_stream(stream)
+        self.memory.release_request(stream)
+
     def _close_if_answered(self) -> None:
         """After an invalid frame, close the connection once all requests received before it are answered."""
         if self.protocol.broken and not self.protocol.open_streams:
--- a/hollowhitch/net/frontend.py
+++ b/hollowhitch/net/frontend.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import time
+from collections.abc import Callable
 
 import gevent
 from gevent import socket
@@ -14,13 +15,13 @@
 from hollowhitch.config import Config
 from hollowhitch.gateway import Gateway, Refused
 from hollowhitch.lifecycle import ConnectionStage, Lifecycle, State
-from hollowhitch.net.client_connection import ClientConnection
+from hollowhitch.net.client_connection import DISCARD_READ_BYTES, ClientConnection, EvictionRank
 from hollowhitch.net.connection_closing import CloseReason
 from hollowhitch.net.listener import Listener
 from hollowhitch.net.loop_monitor import LoopMonitor
+from hollowhitch.net.memory_budget import MemoryBudget
 from hollowhitch.net.query_refs import QueryRefs
 from hollowhitch.net.receive_times import ArrivalQueue
-from hollowhitch.net.unread import unread_bytes
 from hollowhitch.protocol import frames
 
 SWEEP_INTERVAL_S = 0.25  # seconds between checks for connections that have timed out
@@ -42,11 +43,12 @@
         self.request_validator = frames.RequestValidator(config.settings)
         self.refs = QueryRefs(_ref_retention_s(config), config.recent_refs_most)
         self.connections: set[ClientConnection] = set()
-        self.statement_bytes = 0  # size of the statements of the open requests
+        self.memory = MemoryBudget(config.held_most)
+        self.discarded_input = bytearray(DISCARD_READ_BYTES)
         self._leave_requested = Event()  # set while the lifecycle asks clients to leave
         self._all_closed = Event()  # set while there is no connection
         self._all_closed.set()
-        self._listener = Listener(config.listen, self._serve, gateway.metrics, gateway.clock)
+        self._listener = Listener(config.listen, self._admit, gateway.metrics, gateway.clock)
 
     def start(self) -> None:
         """Listen, and start the greenlets that close connections. Raise OSError as `Listener.start` does."""
@@ -59,17 +61,17 @@
         """Host and port; after `start`, those that are bound."""
         return self._listener.address
 
-    def _serve(self, sock: socket.socket, pending_since_us: int | None) -> None:
+    def _admit(self, sock: socket.socket, pending_since_us: int | None) -> Callable[[], None] | None:
         if not self._make_room():
             self.gateway.metrics.client_closes.add(CloseReason.CONNECTION_LIMIT.value)
             sock.close()
-            return
+            return None
         connection = ClientConnection(self, sock, pending_since_us)
         self.connections.add(connection)
         self._all_closed.clear()
         if self.lifecycle.asks_clients_to_leave:
             connection.send_closing()
-        connection.run()
+        return connection.run
 
     def connection_closed(self, connection: ClientConnection) -> None:
         """Forget a connection that is closed."""
@@ -105,11 +107,11 @@
         ]
         remaining_count = EVICTION_BATCH
         for rank, _, _, connection in sorted(ranked):
-            if rank != 0 and (unread_bytes(connection.sock) or len(connection.protocol.buffer)):
-                continue
             connection.disconnect(CloseReason.CONNECTION_LIMIT)
             remaining_count -= 1
-            if not remaining_count or rank == 3:  # at most one new connection is closed at a time
+            if (
+                not remaining_count or rank is EvictionRank.NEW
+            ):  # at most one new connection is closed at a time
                 break
         return len(self.connections) < self.config.clients_most
 
@@ -119,24 +121,11 @@
         """Return whether this process is ready to serve and has an engine."""
         return self.lifecycle.is_ready and any(self.gateway.controller.engines_for_class)
 
-    def rejection_reason(self, size: int) -> str:
-        """Return why a request of `size` bytes cannot be accepted now; empty if it can."""
+    def rejection_reason(self) -> str:
+        """Return why a request cannot be accepted now, apart from its memory; empty if it can."""
         if lifecycle_reason := self.lifecycle.refusal_reason(time.monotonic()):
             return lifecycle_reason.value
-        return "crowded" if self.at_capacity(size) else ""
-
-    def at_capacity(self, size: int) -> bool:
-        """Return whether a request of `size` bytes has to be refused to protect this process.
-
-        That is so if the request would exceed the memory limit, or if as many queries are open as the
-        controller can handle.
-        """
-        return self.gateway.unanswered_count >= self.config.open_most or not self.has_memory_for(size)
-
-    def has_memory_for(self, size: int) -> bool:
-        """Return whether `size` more bytes can be held for clients."""
-        buffered_bytes = sum(c.send_queue.size + len(c.protocol.buffer.data) for c in self.connections)
-        return self.statement_bytes + buffered_bytes + size <= self.config.held_most
+        return "crowded" if self.gateway.unanswered_count >= self.config.open_most else ""
 
     def reject(self, reason: str) -> Refused:
         """Record that a request was not accepted, and return its answer."""
--- a/hollowhitch/net/listener.py
+++ b/hollowhitch/net/listener.py
@@ -19,25 +19,26 @@
 # Bounds of the delay after a failure that may last, in seconds. It doubles with each consecutive failure.
 MIN_BACKOFF_S, MAX_BACKOFF_S = 0.001, 0.01
 START_RETRY_S = 5.0  # seconds for which listening is retried while this machine lacks a resource
-ACCEPTS_PER_YIELD = 32  # connections accepted before other greenlets run
+ACCEPTS_PER_YIELD = 8  # connections accepted before other greenlets run
 
 
 class Listener:
-    """A listening socket that runs `serve` in a new greenlet for each connection.
+    """A listening socket that calls `admit` for each connection, and runs what it returns in a new greenlet.
 
-    `serve` receives the socket, and the earliest time from which the connection may have waited to be
-    accepted (microseconds on the proxy's clock), or None if it was accepted as soon as it arrived. `address`
-    is the bound address once `start` has returned.
+    `admit` receives the socket, and the earliest time from which the connection may have waited to be
+    accepted (microseconds on the proxy's clock), or None if it was accepted as soon as it arrived. It must
+    not block. If it returns None, it has closed the socket. `address` is the bound address once `start` has
+    returned.
     """
 
     def __init__(
         self,
         address: Address,
-        serve: Callable[[socket.socket, int | None], None],
+        admit: Callable[[socket.socket, int | None], Callable[[], None] | None],
         metrics: Metrics,
         clock: Clock,
     ) -> None:
-        self._bind_address, self._serve, self._metrics, self._clock = address, serve, metrics, clock
+        self._bind_address, self._admit, self._metrics, self._clock = address, admit, metrics, clock
         self._failing_since_us: int | None = None
         self._sock: socket.socket | None = None
         self._acceptor: gevent.Greenlet | None = None
@@ -94,11 +95,16 @@
                     backoff_s = min(2 * backoff_s, MAX_BACKOFF_S)
                 continue
             backoff_s = MIN_BACKOFF_S
-            gevent.spawn(self._serve, client, self._failing_since_us)
+            self._serve(client)
             accepted_count += 1
             if accepted_count % ACCEPTS_PER_YIELD == 0:
                 gevent.sleep(0)
 
+    def _serve(self, client: socket.socket) -> None:
+        serve = self._admit(client, self._failing_since_us)
+        if serve is not None:
+            gevent.spawn(serve)
+
     def close(self) -> None:
         """Accept the connections that are already waiting, then stop listening."""
         sock, self._sock = self._sock, None
@@ -111,7 +117,7 @@
         try:
             while True:
                 client, _ = sock.accept()
-                gevent.spawn(self._serve, client, self._failing_since_us)
+                self._serve(client)
         except OSError:  # no connection is waiting, or accepting it failed
             pass
         sock.close()
--- a/hollowhitch/net/send_queue.py
+++ b/hollowhitch/net/send_queue.py
@@ -8,12 +8,15 @@
 from gevent import socket
 from gevent.event import Event
 
+from hollowhitch.net.memory_budget import MemoryBudget
 from hollowhitch.net.system_call_errors import SystemCall, retry_transient
 
 Item = bytes | Callable[[], bytes]  # a callable returns its bytes just before they are written
 OnTaken = Callable[[], None]
 
 WRITE_CHUNK_BYTES = 65_536  # bytes gathered for one write
+ITEM_BYTES = 200  # memory that one waiting item takes in addition to its own bytes
+MIN_PAUSE_BYTES = 16_384  # bytes up to which a queue is never above its threshold, whatever others hold
 
 
 class SendQueue:
@@ -21,7 +24,8 @@
 
     Items are accepted even above `max_bytes` and `pause_threshold` (by default the same); the owner has to
     check `full` and `above_threshold`. `before_write` is called before each write and may block. Items given
-    as callables are evaluated after that.
+    as callables are evaluated after that. If there is a `budget`, the queue's size counts as held there, and
+    a queue is above its threshold earlier while the budget is exhausted.
     """
 
     def __init__(
@@ -30,11 +34,12 @@
         max_bytes: int,
         pause_threshold: int | None = None,
         before_write: Callable[[], None] | None = None,
+        budget: MemoryBudget | None = None,
     ) -> None:
-        self.size = 0  # bytes waiting or being written
+        self.size = 0  # bytes waiting or being written, with ITEM_BYTES for each item
         self.closed = False
         self._sock, self._max_bytes, self._pause_threshold = sock, max_bytes, pause_threshold or max_bytes
-        self._before_write = before_write
+        self._before_write, self._budget = before_write, budget
         self._items: deque[tuple[Item, int, OnTaken | None]] = deque()
         # For the chunk being written: calls to make once the kernel has taken so many of its bytes.
         self._taken_calls: deque[tuple[int, OnTaken]] = deque()
@@ -50,7 +55,8 @@
     @property
     def above_threshold(self) -> bool:
         """Whether more bytes than the pause threshold are waiting, so that the owner should stop reading."""
-        return self.size > self._pause_threshold
+        is_short_of_memory = self._budget is not None and self._budget.is_exhausted
+        return self.size > (MIN_PAUSE_BYTES if is_short_of_memory else self._pause_threshold)
 
     def put(self, item: Item, size: int | None = None, on_taken: OnTaken | None = None) -> None:
         """Append an item, unless the queue is closed.
@@ -62,14 +68,19 @@
             if on_taken is not None:
                 on_taken()
             return
-        size = len(item) if isinstance(item, bytes) else size or 0
+        size = (len(item) if isinstance(item, bytes) else size or 0) + ITEM_BYTES
         self._items.append((item, size, on_taken))
-        self.size += size
+        self._change_size(size)
         self.idle = False
         if self.above_threshold:
             self._below_threshold.clear()
         self._wake.set()
 
+    def _change_size(self, change: int) -> None:
+        self.size += change
+        if self._budget is not None:
+            self._budget.hold(change)
+
     def wait_below_threshold(self) -> None:
         """Block while the queue is above its pause threshold.
 
@@ -88,7 +99,7 @@
         dropped_calls += [on_taken for _, _, on_taken in self._items if on_taken is not None]
         self._taken_calls.clear()
         self._items.clear()
-        self.size = 0
+        self._change_size(-self.size)
         self._below_threshold.set()
         self._wake.set()
         for on_taken in dropped_calls:
@@ -118,7 +129,8 @@
                 if on_taken is not None:
                     self._taken_calls.append((len(chunk), on_taken))
             self._send(chunk)
-            self.size = max(0, self.size - size)
+            if not self.closed:
+                self._change_size(-size)
             if not self.above_threshold:
                 self._below_threshold.set()
 
--- a/hollowhitch/protocol/buffer.py
+++ b/hollowhitch/protocol/buffer.py
@@ -27,9 +27,6 @@
         """
         if self.start == self.end:
             self.start = self.end = 0
-            # An empty buffer shrinks, so that one large frame does not occupy its memory for good.
-            if len(self.data) > 16 * INITIAL_BYTES and min_bytes <= INITIAL_BYTES:
-                self.data = bytearray(INITIAL_BYTES)
         if len(self.data) - self.end < min_bytes:
             buffered = len(self)
             if self.start:
@@ -57,8 +54,14 @@
         return bytes(self.data[first : min(first + count, self.end)])
 
     def consume(self, count: int) -> None:
-        """Consume `count` bytes, which must be buffered."""
+        """Consume `count` bytes, which must be buffered.
+
+        A buffer that has grown shrinks once it is empty, so that a large frame does not occupy its memory.
+        """
         self.start += count
+        if self.start == self.end and len(self.data) > 2 * INITIAL_BYTES:
+            self.data = bytearray(INITIAL_BYTES)
+            self.start = self.end = 0
 
     def read(self, count: int) -> bytes:
         """Consume and return up to `count` bytes."""
