Let the event loop poll whenever a greenlet yields

Callers saw: others were read late while one connection kept its reader busy. Cause: gevent.sleep(0) runs ready greenlets, up to 50 rounds, before the loop polls again. Evidence: with a greenlet that yields after each 9 ms, a timer of 0.09 s and a readable socket were served after 0.365 s, with 2 polls; with a positive sleep after 0.09 and 0.11 s, with 40 polls. LoopMonitor.catch_up, the check before each write, relied on sleep(0) too. Change: yield_to_loop sleeps for 1 ns, which goes through the loop each time (5.8 us instead of 2.8 us a call).

--- a/hollowhitch/console/server.py
+++ b/hollowhitch/console/server.py
@@ -8,7 +8,6 @@
 from functools import partial
 from http import HTTPStatus
 
-import gevent
 from gevent import socket
 
 from hollowhitch import log
@@ -17,6 +16,7 @@
 from hollowhitch.console.protocol import RequestError, RequestParser, Response
 from hollowhitch.console.routes import ROUTES, Operations, handle
 from hollowhitch.metrics import Metrics
+from hollowhitch.net.cooperation import yield_to_loop
 from hollowhitch.net.listener import Listener
 from hollowhitch.net.system_call_errors import SystemCall, retry_transient
 from hollowhitch.net.unread import unread_bytes
@@ -139,7 +139,7 @@
             if not count:
                 return
             discarded_bytes += count
-            gevent.sleep(0)
+            yield_to_loop()
 
     def close(self) -> None:
         """Close the socket; further calls have no effect."""
--- a/hollowhitch/net/client_connection.py
+++ b/hollowhitch/net/client_connection.py
@@ -17,6 +17,7 @@
 from hollowhitch.gateway import Answer, Failed, Gateway, Query, Refused, Served
 from hollowhitch.lifecycle import ConnectionActivity, ConnectionStage
 from hollowhitch.net.connection_closing import CloseReason, ConnectionClosing, PendingInput
+from hollowhitch.net.cooperation import yield_to_loop
 from hollowhitch.net.loop_monitor import LoopMonitor
 from hollowhitch.net.memory_budget import ConnectionMemory, MemoryBudget
 from hollowhitch.net.peer_state import PeerState
@@ -322,7 +323,7 @@
             self._handle_event(event, received)
             if len(self.protocol.buffer) and self.host.loop_monitor.poll_overdue:
                 self.receiver.pause()
-                gevent.sleep(0)
+                yield_to_loop()
 
     def _read_size(self, free_bytes: int) -> int:
         """Return how many bytes to read at once, at most.
@@ -361,7 +362,7 @@
         elif self.host.loop_monitor.poll_overdue and unread_bytes(self.sock):
             # Without unread bytes, the next read blocks and so lets other greenlets run.
             self.receiver.pause()
-            gevent.sleep(0)
+            yield_to_loop()
 
     @property
     def _is_within_frame(self) -> bool:
--- a/hollowhitch/net/listener.py
+++ b/hollowhitch/net/listener.py
@@ -12,6 +12,7 @@
 from hollowhitch.clock import Clock
 from hollowhitch.config import Address
 from hollowhitch.metrics import Metrics
+from hollowhitch.net.cooperation import yield_to_loop
 from hollowhitch.net.receive_times import enable_receive_timestamps
 from hollowhitch.net.system_call_errors import ErrorOrigin, SystemCall, record_failure
 
@@ -98,7 +99,7 @@
             self._serve(client)
             accepted_count += 1
             if accepted_count % ACCEPTS_PER_YIELD == 0:
-                gevent.sleep(0)
+                yield_to_loop()
 
     def _serve(self, client: socket.socket) -> None:
         serve = self._admit(client, self._failing_since_us)
--- a/hollowhitch/net/loop_monitor.py
+++ b/hollowhitch/net/loop_monitor.py
@@ -7,6 +7,7 @@
 from hollowhitch import log
 from hollowhitch.clock import US_PER_S, Clock
 from hollowhitch.metrics import Metrics
+from hollowhitch.net.cooperation import yield_to_loop
 
 PERIOD_US = 50_000  # interval of the updates, in microseconds
 # Change of the offset between the wall clock and the monotonic clock, in microseconds, up to which the last
@@ -63,7 +64,7 @@
         """
         if self._clock.now_us() - self.polled_at_us > STALE_POLL_US:
             for _ in range(CATCH_UP_ITERATIONS):
-                gevent.sleep(0)
+                yield_to_loop()
 
     def update(self) -> None:
         """Record that the loop runs, and report a stall of the loop or a step of the wall clock."""
--- a/hollowhitch/net/receive_times.py
+++ b/hollowhitch/net/receive_times.py
@@ -19,6 +19,7 @@
 from gevent import socket
 
 from hollowhitch.clock import MIN_STEP_US, Clock, wall_time_us
+from hollowhitch.net.cooperation import yield_to_loop
 from hollowhitch.net.loop_monitor import LoopMonitor
 from hollowhitch.net.system_call_errors import SystemCall, retry_transient
 from hollowhitch.net.unread import unread_bytes
@@ -220,9 +221,9 @@
             gevent.spawn(self._dispatch)
 
     def _dispatch(self) -> None:
-        gevent.sleep(0)  # lets connections that were accepted in this iteration be read before
+        yield_to_loop()  # lets connections that were accepted in this iteration be read before
         while self._pending:
             heapq.heappop(self._pending)[2]()
             if self._loop_monitor.poll_overdue:
-                gevent.sleep(0)
+                yield_to_loop()
         self._is_dispatching = False
