Treat an engine as gone when another one is announced at its address

Cause: pools are kept by id, and nothing compared addresses. AddressOwners says to which engine an address belongs; Membership, which both pools and controller follow, reports the other as gone. So neither can be chosen or written to.

--- a/faults/channel.py
+++ b/faults/channel.py
@@ -24,15 +24,18 @@
     engine: StubEngine
     phase: str = "active"
     up_since_ms: int = 0  # wall clock time of its start; 0 for an engine that started long ago
+    name: str = ""  # id of another engine process at the stub's address; the stub's own by default
+    zone: str = "z"
+    cell: int = 0
 
     def as_json(self) -> dict[str, Any]:
         """Return the entry that describes the engine in an event's list of members."""
         return {
-            "id": self.engine.name,
+            "id": self.name or self.engine.name,
             "host_port": f"{self.engine.host}:{self.engine.port}",
-            "locality": "z",
+            "locality": self.zone,
             "flavor": "k",
-            "cell": 0,
+            "cell": self.cell,
             "phase": self.phase,
             "size": 1,
             "up_since_ms": self.up_since_ms,
--- a/hollowhitch/policy/membership.py
+++ b/hollowhitch/policy/membership.py
@@ -1,5 +1,7 @@
 """Engines that may be used: those in the lists, except those that an operator has disabled.
 
+An engine whose address another one has taken counts as gone, although lists may still name it.
+
 An order to disable an engine stays in force until the order to enable it, whatever lists say in between. A
 disabled engine may restart unnoticed. So it counts as started when it is enabled, unless a list has reported
 a start after it was disabled.
@@ -13,10 +15,9 @@
 from collections.abc import Mapping
 from dataclasses import dataclass
 
+from hollowhitch.policy.address_owners import Address, AddressOwners
 from hollowhitch.policy.interface import Engine, EngineList, EngineState, ListKind
 
-Address = tuple[str, int]
-
 MAX_ENGINES = 16_384  # number of engines above which those that are gone are forgotten
 
 
@@ -33,6 +34,7 @@
 
     def __init__(self) -> None:
         self._listed_engines: dict[str, Engine] = {}
+        self._address_owners = AddressOwners()
         self._addresses: dict[str, Address] = {}
         self._disabled_at_us: dict[str, int] = {}
         self._latest_start_at_us: dict[str, int] = {}  # of engines that were disabled and enabled
@@ -49,8 +51,11 @@
             self._listed_engines.pop(engine.id, None)
             self._listed_engines[engine.id] = engine
         self._addresses.update(addresses)
+        displaced_ids = self._address_owners.apply(engines, addresses)
         self._forget_gone()
-        usable = tuple(self._usable(engine) for engine in engines.engines)
+        listed_ids = [engine.id for engine in engines.engines]
+        changed_ids = dict.fromkeys([*listed_ids, *displaced_ids])
+        usable = tuple(self._usable(self._listed_engines[engine_id]) for engine_id in changed_ids)
         return ListUpdate(dataclasses.replace(engines, engines=usable), addresses)
 
     def disable(self, engine_id: str, now_us: int) -> ListUpdate | None:
@@ -79,6 +84,8 @@
 
     def _usable(self, engine: Engine) -> Engine:
         """Return a listed engine with the operators' orders applied."""
+        if self._address_owners.is_displaced(engine.id):
+            return dataclasses.replace(engine, state=EngineState.GONE)
         if engine.id in self._disabled_at_us and engine.state is EngineState.READY:
             return dataclasses.replace(engine, state=EngineState.DRAINING)
         latest_start_at_us = self._latest_start_at_us.get(engine.id, 0)
@@ -93,6 +100,7 @@
             self._listed_engines[engine_id] = dataclasses.replace(
                 self._listed_engines[engine_id], state=EngineState.GONE
             )
+            self._address_owners.forget(engine_id)
 
     def _forget_gone(self) -> None:
         """Forget engines that are gone beyond MAX_ENGINES, first those that were listed longest ago."""
@@ -104,6 +112,7 @@
         for engine_id in gone_ids[: len(self._listed_engines) - MAX_ENGINES]:
             del self._listed_engines[engine_id]
             self._addresses.pop(engine_id, None)
+            self._address_owners.forget(engine_id)
             self._latest_start_at_us.pop(engine_id, None)
 
     def _may_forget(self, engine: Engine) -> bool:
--- a/tests/test_membership.py
+++ b/tests/test_membership.py
@@ -88,3 +88,33 @@
     members.apply(make_list(ListKind.FULL, *(make_engine(f"f{i}") for i in range(3))), {})
     assert members.disable("e0", SECOND_US) is None
     assert members.enable("a", SECOND_US) is not None
+
+
+NEW_AT_A = {"new": ADDRESSES["a"]}
+
+
+# Guards against work that is sent to a new engine at the address of one that the lists still name.
+def test_an_engine_whose_address_another_one_has_taken_is_gone(members):
+    update = members.apply(make_list(ListKind.DELTA, make_engine("new")), NEW_AT_A)
+    assert states(update) == {"new": READY, "a": GONE}
+    still_listed = members.apply(make_list(ListKind.DELTA, make_engine("a")), {"a": ADDRESSES["a"]})
+    assert states(still_listed) == {"a": GONE}
+    full = make_list(ListKind.FULL, make_engine("a"), make_engine("b"), make_engine("new"))
+    assert states(members.apply(full, {**ADDRESSES, **NEW_AT_A})) == {"a": GONE, "b": READY, "new": READY}
+
+
+def test_an_engine_with_a_new_address_or_the_only_one_at_its_old_address_is_used_again(members):
+    members.apply(make_list(ListKind.DELTA, make_engine("new")), NEW_AT_A)
+    moved = members.apply(make_list(ListKind.DELTA, make_engine("a")), {"a": ("127.0.0.1", 3)})
+    assert states(moved) == {"a": READY}
+    members.apply(make_list(ListKind.DELTA, make_engine("new", state=GONE)), {})
+    back = members.apply(make_list(ListKind.DELTA, make_engine("a")), {"a": ADDRESSES["a"]})
+    assert states(back) == {"a": READY}
+
+
+@pytest.mark.parametrize("ids", [("old", "new"), ("new", "old")])
+def test_of_two_engines_at_one_address_in_one_list_the_one_that_started_last_is_used(ids):
+    started = {"old": 0, "new": 5 * SECOND_US}
+    engines = [make_engine(engine_id, started_at_us=started[engine_id]) for engine_id in ids]
+    update = Membership().apply(make_list(ListKind.FULL, *engines), dict.fromkeys(ids, ("127.0.0.1", 1)))
+    assert states(update) == {"old": GONE, "new": READY}
