Handle a request only when no older one of another connection is unread

Cause: input is read in steps where there is much of it, and order was made only among requests of one loop iteration; bytes left unread were dated no earlier than the last run of the loop. Change: ArrivalQueue, its own module, is told which connections have input that is not queued and since when, and a request waits for all older input. Connections that are not read on purpose are not waited for; a keyed request read after such a pause is refused if newer ones were handled. Receiver keeps the earliest time of unread bytes until all are read.

--- a/hollowhitch/net/client_connection.py
+++ b/hollowhitch/net/client_connection.py
@@ -16,21 +16,19 @@
 from hollowhitch.config import QUERY_STATE_BYTES
 from hollowhitch.gateway import Answer, Failed, Gateway, Query, Refused, Served
 from hollowhitch.lifecycle import ConnectionActivity, ConnectionStage
+from hollowhitch.net.arrival_queue import ArrivalQueue
 from hollowhitch.net.connection_closing import CloseReason, ConnectionClosing, PendingInput
 from hollowhitch.net.cooperation import yield_to_loop
 from hollowhitch.net.loop_monitor import LoopMonitor
 from hollowhitch.net.memory_budget import ConnectionMemory, MemoryBudget
 from hollowhitch.net.peer_state import PeerState
 from hollowhitch.net.query_refs import QueryRefs
-from hollowhitch.net.receive_times import ArrivalQueue, Received, Receiver, enable_receive_timestamps
+from hollowhitch.net.receive_times import Received, Receiver, enable_receive_timestamps
 from hollowhitch.net.send_queue import SendQueue
 from hollowhitch.net.unread import unread_bytes
 from hollowhitch.protocol import frames
 from hollowhitch.protocol.buffer import MIN_FREE_BYTES
 
-# Seconds for which a request may wait for its turn. Refusing the others is quicker than to start them, so
-# that thousands of requests at once do not delay those that come after them.
-MAX_QUEUED_S = 0.5
 MAX_QUEUED_BYTES = 256 * 1024  # bytes queued for a client above which its new requests are refused
 READ_PAUSE_BYTES = 512 * 1024  # bytes queued for a client above which nothing more is read from it
 IDLE_TIMEOUT_S = 30.0  # seconds without a byte while no request is open, or without progress of a write
@@ -121,6 +119,7 @@
         self.last_answer_at_s: float | None = None
         self.unusable_frame_count = 0
         self._throttled_frame_count = 0  # unusable frames for which the next reads were delayed
+        self._reads_late = False  # what is read next may have arrived long before requests of others
         self._writer: gevent.Greenlet | None = None
 
     def run(self) -> None:
@@ -198,6 +197,7 @@
             self.host.gateway.client_left(query)
         self.protocol.open_streams.clear()  # keeps requests in the arrival queue from being submitted
         self.memory.release_all()
+        self.host.arrival_queue.input_is_read(self)
         self.send_queue.close()
         # The writer's traceback would otherwise reference this connection until a garbage collection.
         writer, self._writer = self._writer, None
@@ -280,6 +280,7 @@
     def _read(self) -> None:
         while not self.closed:
             self._wait_for_slow_client()
+            self._reads_late = self._reads_late or self.receiver.may_hide_close()
             try:
                 received = self._receive()
             except TimeoutError:
@@ -289,6 +290,8 @@
             if not self.closing.is_write_shut:  # otherwise the client will see the close, and send it again
                 self.last_active_at_s = self.last_read_at_s
                 self._handle_frames(received)
+            if not self.receiver.is_behind:
+                self._reads_late = False
             if self.is_closing:
                 self.send_queue.wake()  # this may have been the last input that its close waited for
             self._throttle()
@@ -317,6 +320,8 @@
 
     def _handle_frames(self, received: Received) -> None:
         """Handle the frames that are complete, and let other greenlets run whenever the loop is overdue."""
+        if not self._reads_late:
+            self.host.arrival_queue.input_is_unread(self, received.earliest_at_us)
         while not self.closed and (event := self.protocol.next_event(self._may_buffer)) is not None:
             self.has_received_frame, self.frame_started_at_s = True, self.last_read_at_s
             self.memory.release_frame()
@@ -324,6 +329,14 @@
             if len(self.protocol.buffer) and self.host.loop_monitor.poll_overdue:
                 self.receiver.pause()
                 yield_to_loop()
+        if self._reads_late or not self.receiver.is_behind:
+            self.host.arrival_queue.input_is_read(self)
+
+    def _pause_reading(self) -> None:
+        """Note that nothing is read for a while, and that the requests of others do not wait for it."""
+        self.receiver.pause()
+        self.host.arrival_queue.input_is_read(self)
+        self._reads_late = True
 
     def _read_size(self, free_bytes: int) -> int:
         """Return how many bytes to read at once, at most.
@@ -343,7 +356,7 @@
         client has gone. So its open queries are terminated first.
         """
         if self.send_queue.above_threshold:
-            self.receiver.pause()
+            self._pause_reading()
             for query in list(self.queries.values()):
                 self.host.gateway.terminate_query(query)
             self.send_queue.wait_below_threshold()
@@ -353,10 +366,10 @@
         is_unusable = self.unusable_frame_count > self._throttled_frame_count
         self._throttled_frame_count = self.unusable_frame_count
         if self.protocol.broken or self.closing.is_write_shut:  # all further input is discarded
-            self.receiver.pause()
+            self._pause_reading()
             gevent.sleep(DISCARD_INTERVAL_S)
         elif is_unusable:
-            self.receiver.pause()
+            self._pause_reading()
             max_delay_s = MAX_DELAY_WITH_OPEN_S if self.protocol.open_streams else MAX_UNUSABLE_FRAME_DELAY_S
             gevent.sleep(min(self.unusable_frame_count * UNUSABLE_FRAME_DELAY_S, max_delay_s))
         elif self.host.loop_monitor.poll_overdue and unread_bytes(self.sock):
@@ -455,20 +468,24 @@
     def _queue_request(self, event: frames.Request, received: Received) -> None:
         """Let the request wait for its turn among those of all connections, or refuse it without memory."""
         self.last_request_at_s = time.monotonic()
-        if not self.memory.hold_request(event.stream, len(event.payload) + QUERY_STATE_BYTES):
+        size = len(event.payload) + QUERY_STATE_BYTES
+        if not self.memory.hold_request(event.stream, size):
             self._answer(event.stream, self.host.reject("crowded"))
             return
-        queued_at_s = time.monotonic()
+        reads_late = self._reads_late
         self.host.arrival_queue.add(
-            received.arrived_at_us, lambda: self._start_request(event, received.earliest_at_us, queued_at_s)
+            received.arrived_at_us,
+            lambda is_overdue: self._start_request(event, received.earliest_at_us, is_overdue, reads_late),
         )
 
-    def _start_request(self, event: frames.Request, received_at_us: int, queued_at_s: float) -> None:
+    def _start_request(
+        self, event: frames.Request, received_at_us: int, is_overdue: bool, was_read_late: bool
+    ) -> None:
         try:
-            if time.monotonic() - queued_at_s > MAX_QUEUED_S:
+            if is_overdue:
                 self._answer(event.stream, self.host.reject("crowded"))
             else:
-                self._submit(event, received_at_us)
+                self._submit(event, received_at_us, was_read_late)
         except Exception as e:  # a bug in the proxy fails only this request, which still gets its answer
             log.event("fault", "handling a request failed", error=repr(e))
             self._answer(event.stream, Failed())
@@ -487,7 +504,7 @@
             for query in list(self.queries.values()):
                 self.host.gateway.terminate_query(query)
 
-    def _submit(self, event: frames.Request, received_at_us: int) -> None:
+    def _submit(self, event: frames.Request, received_at_us: int, was_read_late: bool) -> None:
         host = self.host
         if event.stream not in self.protocol.open_streams:  # cancelled, or the client has gone
             return
@@ -505,6 +522,9 @@
         except frames.FieldError as e:
             self._answer_bad_request(event.stream, str(e))
             return
+        if was_read_late and parsed.arrival.key is not None and self._is_overtaken(received_at_us):
+            self._answer(event.stream, host.reject("read late"))
+            return
         if parsed.ref in host.refs:
             self._answer_bad_request(event.stream, "ref is that of an open or an earlier request")
             return
@@ -521,6 +541,10 @@
         host.refs.opened(parsed.ref)
         host.gateway.submit(query, received_at_us)
 
+    def _is_overtaken(self, received_at_us: int) -> bool:
+        """Return whether a request that arrived later, and may have the same key, was handled before."""
+        return self.host.arrival_queue.handled_until_us > received_at_us
+
     def _answer_bad_request(self, stream: int, reason: str) -> None:
         log.event("client", "bad request", reason=reason)
         self.unusable_frame_count += 1
--- a/hollowhitch/net/frontend.py
+++ b/hollowhitch/net/frontend.py
@@ -15,13 +15,13 @@
 from hollowhitch.config import Config
 from hollowhitch.gateway import Gateway, Refused
 from hollowhitch.lifecycle import ConnectionStage, Lifecycle, State
+from hollowhitch.net.arrival_queue import ArrivalQueue
 from hollowhitch.net.client_connection import DISCARD_READ_BYTES, ClientConnection, EvictionRank
 from hollowhitch.net.connection_closing import CloseReason
 from hollowhitch.net.listener import Listener
 from hollowhitch.net.loop_monitor import LoopMonitor
 from hollowhitch.net.memory_budget import MemoryBudget
 from hollowhitch.net.query_refs import QueryRefs
-from hollowhitch.net.receive_times import ArrivalQueue
 from hollowhitch.protocol import frames
 
 SWEEP_INTERVAL_S = 0.25  # seconds between checks for connections that have timed out
@@ -39,7 +39,7 @@
     ) -> None:
         self.config, self.gateway, self.loop_monitor = config, gateway, loop_monitor
         self.lifecycle, self.audit = lifecycle, audit
-        self.arrival_queue = ArrivalQueue(loop_monitor)
+        self.arrival_queue = ArrivalQueue(gateway.clock, loop_monitor)
         self.request_validator = frames.RequestValidator(config.settings)
         self.refs = QueryRefs(_ref_retention_s(config), config.recent_refs_most)
         self.connections: set[ClientConnection] = set()
--- a/hollowhitch/net/receive_times.py
+++ b/hollowhitch/net/receive_times.py
@@ -10,16 +10,12 @@
 
 from __future__ import annotations
 
-import heapq
 import struct
-from collections.abc import Callable
 from dataclasses import dataclass
 
-import gevent
 from gevent import socket
 
 from hollowhitch.clock import MIN_STEP_US, Clock, wall_time_us
-from hollowhitch.net.cooperation import yield_to_loop
 from hollowhitch.net.loop_monitor import LoopMonitor
 from hollowhitch.net.system_call_errors import SystemCall, retry_transient
 from hollowhitch.net.unread import unread_bytes
@@ -91,10 +87,10 @@
         self._sock, self._clock, self._loop_monitor = sock, clock, loop_monitor
         # While reading is paused: when the pause began, and the wall clock's offset then.
         self._paused_since: tuple[int, int] | None = None
-        # Time before which no unread byte can have arrived, and the wall clock's offset then.
-        self._backlog_start = (0, 0)
-        self._backlog_until_us = 0  # bytes that arrived before this time may still be unread; 0: no backlog
-        # Since when bytes may have been unread all the time, 0: they were all read; and what was read since.
+        # Time before which no unread byte can have arrived, and the wall clock's offset then; None: all bytes
+        # were read, so that those that are unread now arrived after the event loop ran last.
+        self._unread_start: tuple[int, int] | None = None
+        # Since when bytes were unread after each read, 0: all were read; and how many were read since.
         self._behind_since_us = self._bytes_read_behind = 0
         if pending_since_us is not None:
             self._paused_since = (
@@ -113,12 +109,9 @@
 
         Each of them has to be read separately, because one read reports only one arrival time.
         """
-        if self._backlog_until_us:
-            return True
-        if self._paused_since is not None or self._loop_monitor.stalled:
-            self._backlog_until_us = self._clock.now_us()
-            self._backlog_start = self._paused_since or self._last_loop_run()
-        return self._backlog_until_us > 0
+        if self._unread_start is None and (self._paused_since is not None or self._loop_monitor.stalled):
+            self._unread_start = self._paused_since or self._last_loop_run()
+        return self._unread_start is not None
 
     def receive(self, buffer: memoryview) -> Received:
         """Read once into `buffer`, and return how much was read and when it arrived.
@@ -128,27 +121,25 @@
         """
         count, ancillary, _, _ = retry_transient(SystemCall.RECEIVE, self._sock.recvmsg_into, [buffer], 64)
         now_us = self._clock.now_us()
-        self._note_progress(count, len(buffer), now_us)
-        has_backlog, self._paused_since = self._backlog_until_us > 0, None
-        earliest_at_us, offset_us = self._backlog_start if has_backlog else self._last_loop_run()
-        arrived_at_us = self._arrival_time_us(ancillary, now_us, earliest_at_us, offset_us, has_backlog)
-        if not has_backlog or not unread_bytes(self._sock):
-            self._backlog_until_us = 0
-            if has_backlog:
-                self._behind_since_us = 0
+        had_backlog = self._unread_start is not None
+        start = self._unread_start or self._paused_since or self._last_loop_run()
+        arrived_at_us = self._arrival_time_us(ancillary, now_us, *start, had_backlog)
+        self._paused_since = None
+        if count < len(buffer) or not unread_bytes(self._sock):
+            self._unread_start, self._behind_since_us = None, 0
             return Received(count, arrived_at_us, arrived_at_us)
+        if not self._behind_since_us:
+            self._behind_since_us, self._bytes_read_behind = now_us, 0
+        self._bytes_read_behind += count
+        self._unread_start = start
         # The kernel merges waiting segments and keeps only the newest timestamp, so these bytes may have
         # arrived long before that.
-        return Received(count, arrived_at_us, earliest_at_us)
+        return Received(count, arrived_at_us, start[0])
 
-    def _note_progress(self, count: int, capacity: int, now_us: int) -> None:
-        if count < capacity:  # the socket had no more
-            self._behind_since_us = 0
-            return
-        if not self._behind_since_us:
-            paused_since_us = self._paused_since[0] if self._paused_since is not None else now_us
-            self._behind_since_us, self._bytes_read_behind = min(paused_since_us, now_us), 0
-        self._bytes_read_behind += count
+    @property
+    def is_behind(self) -> bool:
+        """Whether bytes were still unread after the last read."""
+        return self._behind_since_us > 0
 
     def may_hide_close(self) -> bool:
         """Return whether the peer may have closed the connection long ago without the kernel's knowledge.
@@ -195,35 +186,3 @@
         if elapsed_us is None:  # the earliest possible arrival is the safe assumption
             return earliest_at_us
         return max(now_us - elapsed_us, earliest_at_us)
-
-
-class ArrivalQueue:
-    """Requests that were read and not yet handled, in order of arrival.
-
-    Handling them yields to other greenlets whenever the event loop is overdue to poll for I/O.
-    """
-
-    def __init__(self, loop_monitor: LoopMonitor) -> None:
-        self._loop_monitor = loop_monitor
-        self._pending: list[tuple[int, int, Callable[[], None]]] = []  # heap
-        self._sequence = 0
-        self._is_dispatching = False
-
-    def add(self, arrived_at_us: int, handle: Callable[[], None]) -> None:
-        """Schedule `handle` for the end of this loop iteration or later, in order of `arrived_at_us`.
-
-        `handle` must neither block nor raise.
-        """
-        self._sequence += 1
-        heapq.heappush(self._pending, (arrived_at_us, self._sequence, handle))
-        if not self._is_dispatching:
-            self._is_dispatching = True
-            gevent.spawn(self._dispatch)
-
-    def _dispatch(self) -> None:
-        yield_to_loop()  # lets connections that were accepted in this iteration be read before
-        while self._pending:
-            heapq.heappop(self._pending)[2]()
-            if self._loop_monitor.poll_overdue:
-                yield_to_loop()
-        self._is_dispatching = False
--- a/tests/test_proxy.py
+++ b/tests/test_proxy.py
@@ -26,9 +26,10 @@
 from hollowhitch import log
 from hollowhitch.metrics import Metrics
 from hollowhitch.net import client_connection, engine_pools, frontend
+from hollowhitch.net.arrival_queue import ArrivalQueue
 from hollowhitch.net.dial import dial
 from hollowhitch.net.loop_monitor import LoopMonitor
-from hollowhitch.net.receive_times import ArrivalQueue, Receiver
+from hollowhitch.net.receive_times import Receiver
 from hollowhitch.net.timers import Timers
 from hollowhitch.protocol import frames
 from hollowhitch.protocol.channel import parse_command
@@ -253,9 +254,9 @@
 def test_other_greenlets_run_while_many_requests_are_handled(start_proxy, monkeypatch):
     monkeypatch.setattr(LoopMonitor, "poll_overdue", True)
     proxy, _ = start_proxy(answer_nothing)
-    queue, handled, seen = ArrivalQueue(proxy.loop_monitor), [], []
+    queue, handled, seen = ArrivalQueue(proxy.clock, proxy.loop_monitor), [], []
     for number in (2, 0, 1):
-        queue.add(number, lambda n=number: handled.append(n))
+        queue.add(number, lambda is_overdue, n=number: handled.append(n))
     while len(handled) < 3:
         seen.append(list(handled))
         gevent.sleep(0)
@@ -531,6 +532,34 @@
     assert [line.split()[1] for line in engine.received_lines] == [f"{i:016x}" for i in range(8)]
 
 
+# Guards against a load that runs after a newer one of its key because it came behind many other requests.
+def test_a_request_behind_many_others_is_not_overtaken(start_proxy, monkeypatch):
+    read_s, gap_s, others = 0.004, 0.09, 31
+    receive = Receiver.receive
+
+    def receive_slowly(self, buffer):
+        time.sleep(read_s)  # as on a machine that is busy with the requests of many connections
+        return receive(self, buffer)
+
+    monkeypatch.setattr(Receiver, "receive", receive_slowly)
+    monkeypatch.setattr(Receiver, "has_backlog", property(lambda self: True))
+    proxy, (engine,) = start_proxy(answer_rows)
+    many, single = Client(proxy), Client(proxy)
+    for client in (many, single):
+        client.send(frames.READINESS_CHECK, 1)
+        client.read_frame()
+    older, newer = "00000000000000aa", "00000000000000bb"
+    checks = b"".join(frames.format_frame(frames.READINESS_CHECK, stream) for stream in range(2, others + 2))
+    fields = {"service": "load", "lookup": "key"}
+    load = request_frame(others + 2, b"select 1", ref=older, replay="k1", **fields)
+    many.sock.sendall(checks + load)
+    gevent.sleep(gap_s)
+    single.sock.sendall(request_frame(2, b"select 1", ref=newer, replay="k2", **fields))
+    while len(engine.statements) < 2:
+        gevent.sleep(0.001)
+    assert [line.split()[1] for line in engine.received_lines if line.startswith("REQ")] == [older, newer]
+
+
 def override_limits(proxy: program.Proxy, **changes: int) -> None:
     proxy.frontend.config = dataclasses.replace(proxy.config, **changes)
     proxy.frontend.memory.limit_bytes = proxy.frontend.config.held_most
