Keep a call of the command channel open while further ones are made

Cause: the time limit for a silence, 2.5 s, also ended calls that were about to be answered. Change: a call without a first byte stays open while others follow every 2.5 s, four at most; the one answered first is followed. Slow answers are then heard, and lost calls are still replaced as soon as before.

--- a/hollowhitch/net/channel.py
+++ b/hollowhitch/net/channel.py
@@ -6,6 +6,7 @@
 from collections.abc import Callable
 
 import gevent
+from gevent.event import Event
 
 from hollowhitch import log
 from hollowhitch.config import Address
@@ -23,13 +24,16 @@
 
 PATH = "/cmd/next"
 CONNECT_TIMEOUT_S = 1.0
-# Seconds without a byte after which the client reconnects. The channel sends a comment each second, and 7 s
-# after an event was sent, every proxy counts as having received it.
+# Seconds without a byte after which the client calls the channel again. The channel sends a comment each
+# second, and 7 s after an event was sent, every proxy counts as having received it.
 READ_TIMEOUT_S = 2.5
 # Bounds of the delay before the client reconnects, in seconds. It doubles after each connection without a new
 # event, and half of it is random: when the channel comes back, or ends all connections at once, the proxies
 # must not all connect at the same moment.
 MIN_BACKOFF_S, MAX_BACKOFF_S = 0.05, 0.5
+# Number of calls without a first byte that are kept open at once: the oldest, which a slow channel may answer
+# next, and the latest, in case the others were lost.
+MAX_WAITING_CALLS = 4
 MAX_EVENT_FAILURES = 3  # number of connections on which an event must be undecodable before it is skipped
 
 
@@ -48,7 +52,10 @@
         self._gap_cursor = -1  # cursor after which a gap in the events was last found
         self._event_failures = 0  # number of connections on which decoding the next event failed
         self._rng = random.Random(seed)
-        self._reader: gevent.Greenlet | None = None
+        self._runner: gevent.Greenlet | None = None
+        self._calls: list[gevent.Greenlet] = []  # the open calls, the oldest first
+        self._answered_call: gevent.Greenlet | None = None  # the call whose response has begun
+        self._call_changed = Event()  # a call was answered or has ended
 
     def follow(self, address: Address | None) -> None:
         """Follow the channel at `address` from the current cursor on, or no channel if `address` is None.
@@ -56,24 +63,57 @@
         The connection to the previous address is ended at once, so no further event comes from it. No event
         is lost, because an event is applied without a greenlet switch.
         """
-        if self._reader is not None and address == self._address and not self._reader.dead:
+        if self._runner is not None and address == self._address and not self._runner.dead:
             return
-        if self._reader is not None:
-            self._reader.kill(block=False)
+        if self._runner is not None:
+            self._runner.kill(block=False)
+        self._end_calls()
         self._address, self._gap_cursor, self._event_failures = address, -1, 0
-        self._reader = gevent.spawn(self._run) if address is not None else None
+        self._runner = gevent.spawn(self._run, address) if address is not None else None
 
-    def _run(self) -> None:
+    def _run(self, address: Address) -> None:
+        """Call the channel again and again.
+
+        A call that is not answered in time stays open while further ones are made: a channel that always
+        takes long for its first byte would otherwise never be heard.
+        """
         backoff_s = MIN_BACKOFF_S
-        while (address := self._address) is not None:
+        while True:
             previous_cursor = self.cursor
-            try:
-                self._read_events(address)
-            except (OSError, ChannelError) as e:
-                log.event("channel", "connection ended", cursor=self.cursor, error=repr(e))
+            self._start_call(address)
+            self._call_changed.wait(READ_TIMEOUT_S)
+            if self._answered_call is not None:
+                self._answered_call.join()
             backoff_s = MIN_BACKOFF_S if self.cursor != previous_cursor else min(2 * backoff_s, MAX_BACKOFF_S)
             gevent.sleep(self.jittered_delay_s(backoff_s))
 
+    def _start_call(self, address: Address) -> None:
+        self._calls = [call for call in self._calls if not call.dead]
+        if len(self._calls) >= MAX_WAITING_CALLS:
+            self._calls.pop().kill(block=False)
+        self._answered_call = None
+        self._call_changed.clear()
+        self._calls.append(gevent.spawn(self._call, address))
+
+    def _end_calls(self, kept: gevent.Greenlet | None = None) -> None:
+        for call in self._calls:
+            if call is not kept:
+                call.kill(block=False)
+        self._calls = [] if kept is None else [kept]
+
+    def _call(self, address: Address) -> None:
+        try:
+            self._read_events(address)
+        except (OSError, ChannelError) as e:
+            log.event("channel", "connection ended", cursor=self.cursor, error=repr(e))
+        self._call_changed.set()
+
+    def _call_answered(self) -> None:
+        """Follow the current greenlet's call, whose response has begun, and end the others."""
+        self._answered_call = gevent.getcurrent()
+        self._end_calls(kept=self._answered_call)
+        self._call_changed.set()
+
     def jittered_delay_s(self, max_delay_s: float) -> float:
         """Return a random delay between half of `max_delay_s` and `max_delay_s`.
 
@@ -84,13 +124,16 @@
 
     def _read_events(self, address: Address) -> None:
         with dial(address, CONNECT_TIMEOUT_S, self._metrics) as sock:
-            sock.settimeout(READ_TIMEOUT_S)
+            sock.settimeout(None)
             host_port = f"{address[0]}:{address[1]}"
             sock.sendall(format_request(PATH, host_port, self.cursor))
             protocol, buffer = ChannelProtocol(), ReceiveBuffer()
             while not protocol.ended:
                 with buffer.reserve() as free_space:
                     count = sock.recv_into(free_space)
+                    if count and self._answered_call is not gevent.getcurrent():
+                        self._call_answered()
+                        sock.settimeout(READ_TIMEOUT_S)
                     events = protocol.feed(free_space[:count]) if count else []
                 if count == 0:
                     return
--- a/tests/test_channel.py
+++ b/tests/test_channel.py
@@ -154,3 +154,31 @@
 def test_a_response_with_a_bad_status_is_reported_by_its_status():
     with pytest.raises(ChannelError, match="^response has status 503$"):
         ChannelProtocol().feed(b"HTTP/1.1 503 Unavailable\r\nContent-Length: 0\r\n\r\n")
+
+
+# Guards against a channel that is never heard because each call takes longer than a silence may last.
+def test_a_channel_that_is_slow_to_answer_is_heard(monkeypatch):
+    monkeypatch.setattr(channel, "READ_TIMEOUT_S", 0.05)
+    call_count = 0
+
+    def serve(sock, _) -> None:
+        nonlocal call_count
+        call_count += 1
+        gevent.sleep(0.5)
+        sock.sendall(HEAD)
+        for cursor in range(4, 8):
+            sock.sendall(chunk(f"id: {cursor}\ndata: {event(cursor).data}\n\n"))
+            gevent.sleep(0.03)
+        gevent.sleep(30)
+
+    server = StreamServer(("127.0.0.1", 0), serve)
+    server.start()
+    client, applied = make_client()
+    with gevent.Timeout(5):
+        client.follow(server.address)
+        while len(applied) < 4:
+            gevent.sleep(0.001)
+    calls_until_answered = call_count
+    client.follow(None)
+    server.stop()
+    assert applied == [4, 5, 6, 7] and calls_until_answered > 1
