Let engines of one list share an address, and forget displaced ones without an error

Change: an address has the engines that were announced last, and only a later list or a later start displaces one.

--- a/hollowhitch/policy/address_owners.py
+++ b/hollowhitch/policy/address_owners.py
@@ -14,22 +14,24 @@
 
 
 class AddressOwners:
-    """The engine that was last announced at each address. Engines without an address own none."""
+    """The engines that were announced last at each address. Engines without an address own none.
+
+    Several engines of one list may share an address, unless one of them is known to have started later.
+    """
 
     def __init__(self) -> None:
-        self._owners: dict[Address, Engine] = {}
+        self._owners: dict[Address, dict[str, Engine]] = {}  # by address and engine id
         self._addresses: dict[str, Address] = {}  # by engine id, as last listed
 
     def is_displaced(self, engine_id: str) -> bool:
         """Return whether another engine was announced at the engine's address after it."""
         address = self._addresses.get(engine_id)
-        owner = self._owners.get(address) if address is not None else None
-        return owner is not None and owner.id != engine_id
+        return address is not None and engine_id not in self._owners.get(address, {})
 
     def apply(self, engines: EngineList, addresses: Mapping[str, Address]) -> list[str]:
         """Apply a list of engines, and return the ids of those that lose their address to another one."""
         listed_ids = {engine.id for engine in engines.engines}
-        displaced_ids = []
+        displaced_ids: list[str] = []
         for engine in engines.engines:
             if engine.state is EngineState.GONE:
                 self.forget(engine.id)
@@ -40,19 +42,30 @@
     def forget(self, engine_id: str) -> None:
         """Forget an engine that has gone."""
         address = self._addresses.pop(engine_id, None)
-        if address is not None and self._owners[address].id == engine_id:
-            del self._owners[address]
+        if address is None:
+            return
+        owners = self._owners.get(address, {})
+        owners.pop(engine_id, None)
+        if not owners:
+            self._owners.pop(address, None)
 
     def _announce(self, engine: Engine, address: Address, listed_ids: set[str]) -> list[str]:
         is_new_here = self._addresses.get(engine.id) != address
         if is_new_here:
             self.forget(engine.id)
         self._addresses[engine.id] = address
-        owner = self._owners.get(address)
-        if owner is not None and owner.id != engine.id:
-            # Within one list, the engine that started last is the one that is there now.
-            is_newer_news = is_new_here and owner.id not in listed_ids
-            if not is_newer_news and engine.started_at_us <= owner.started_at_us:
-                return []
-        self._owners[address] = engine
-        return [owner.id] if owner is not None and owner.id != engine.id else []
+        owners = self._owners.setdefault(address, {})
+        others = [owner for owner in owners.values() if owner.id != engine.id]
+        if any(owner.started_at_us > engine.started_at_us for owner in others if owner.id in listed_ids):
+            return []
+        if not is_new_here and engine.id not in owners and others:  # displaced by an earlier list
+            return []
+        displaced_ids = [
+            owner.id
+            for owner in others
+            if (is_new_here and owner.id not in listed_ids) or owner.started_at_us < engine.started_at_us
+        ]
+        for engine_id in displaced_ids:
+            del owners[engine_id]
+        owners[engine.id] = engine
+        return displaced_ids
--- a/tests/test_membership.py
+++ b/tests/test_membership.py
@@ -118,3 +118,13 @@
     engines = [make_engine(engine_id, started_at_us=started[engine_id]) for engine_id in ids]
     update = Membership().apply(make_list(ListKind.FULL, *engines), dict.fromkeys(ids, ("127.0.0.1", 1)))
     assert states(update) == {"old": GONE, "new": READY}
+
+
+def test_engines_that_share_an_address_from_the_start_are_all_used_and_forgotten():
+    shared = dict.fromkeys(("a", "b"), ("127.0.0.1", 1))
+    new_members = Membership()
+    update = new_members.apply(make_list(ListKind.FULL, make_engine("a"), make_engine("b")), shared)
+    assert states(update) == {"a": READY, "b": READY}
+    new_members.apply(make_list(ListKind.FULL, make_engine("new")), {"new": ("127.0.0.1", 1)})
+    gone = make_list(ListKind.DELTA, make_engine("a", state=GONE), make_engine("new", state=GONE))
+    assert states(new_members.apply(gone, {})) == {"a": GONE, "new": GONE}
