Take a request out of the queue when its client takes it back

Change: ArrivalQueue is a CallHeap, whose calls can be cancelled; closing a stream cancels its call. A connection has 32 streams, so the queue is bounded by the connections. A request that waited too long for older input is refused as before.

--- a/faults/misuse.py
+++ b/faults/misuse.py
@@ -1,7 +1,8 @@
 """Clients that misuse a proxy: crowds that write slowly or stop half-way, and floods on one connection.
 
-`python -m faults.misuse HOST PORT KIND COUNT SECONDS` runs one kind in a process of its own, so that it does
-not slow down the clients and engines of a test. It sends nothing beyond COUNT connections and SECONDS.
+`python -m faults.misuse HOST PORT KIND,KIND COUNT SECONDS` runs kinds one after the other, in a process of
+its own, so that it does not slow down the clients and engines of a test. Each kind ends after SECONDS, and a
+crowd has COUNT connections. A flood with `:unread` after its name reads none of the answers.
 """
 
 from __future__ import annotations
@@ -69,6 +70,7 @@
         service=lambda: "keyed", lookup=lambda: secrets.token_hex(8), replay=lambda: secrets.token_hex(16)
     ),
     "bad-numbers": lambda: _requests(allow=lambda: "soon"),
+    "large-unknown": lambda: (request(n, LARGE_STATEMENT, service="none") for n in itertools.count(1)),
     "malformed": _malformed,
     "one-stream": lambda: (request(1) for _ in itertools.count()),
     "taken-back": lambda: (request(n) + wire.encode_frame(wire.CANCEL, n) for n in itertools.count(1)),
@@ -118,21 +120,20 @@
         time.sleep(SLOW_INTERVAL_S)
 
 
-def run_flood(address: tuple[str, int], kind: str, seconds: float, reads: bool) -> int:
-    """Send frames on one connection at a time for `seconds`, and return the number of bytes sent.
+def run_flood(address: tuple[str, int], kind: str, seconds: float, reads: bool) -> None:
+    """Send frames on one connection at a time for `seconds`.
 
     The connection is opened again after the proxy has closed it.
     """
-    ends_at, sent_bytes = time.monotonic() + seconds, 0
+    ends_at = time.monotonic() + seconds
     while time.monotonic() < ends_at:
         with contextlib.suppress(OSError):
-            sent_bytes += _flood_once(address, FLOODS[kind](), ends_at, reads)
+            _flood_once(address, FLOODS[kind](), ends_at, reads)
         time.sleep(0.05)
-    return sent_bytes
 
 
-def _flood_once(address: tuple[str, int], frames: Iterator[bytes], ends_at: float, reads: bool) -> int:
-    sent_bytes, data = 0, b""
+def _flood_once(address: tuple[str, int], frames: Iterator[bytes], ends_at: float, reads: bool) -> None:
+    data = b""
     with socket.create_connection(address, 2.0) as sock, selectors.DefaultSelector() as selector:
         sock.setblocking(False)
         events = selectors.EVENT_WRITE | (selectors.EVENT_READ if reads else 0)
@@ -140,24 +141,23 @@
         while time.monotonic() < ends_at:
             for _, ready in selector.select(0.1):
                 if ready & selectors.EVENT_READ and not sock.recv(READ_BYTES):
-                    return sent_bytes
+                    return
                 if ready & selectors.EVENT_WRITE:
                     while len(data) < FLOOD_CHUNK_BYTES:
-                        data += b"".join(itertools.islice(frames, 200))
-                    count = sock.send(data)
-                    data, sent_bytes = data[count:], sent_bytes + count
-    return sent_bytes
+                        data += next(frames)
+                    data = data[sock.send(data) :]
 
 
 def main() -> None:
-    """Run one kind of misuse."""
-    host, port, kind, count, seconds = sys.argv[1:6]
+    """Run the kinds of misuse that the arguments name."""
+    host, port, kinds, count, seconds = sys.argv[1:6]
     address = (host, int(port))
-    if kind in CROWDS:
-        run_crowd(address, kind, int(count), float(seconds))
-    else:
+    for kind in kinds.split(","):
         name, _, unread = kind.partition(":")
-        print(run_flood(address, name, float(seconds), reads=unread != "unread"))
+        if name in CROWDS:
+            run_crowd(address, name, int(count), float(seconds))
+        else:
+            run_flood(address, name, float(seconds), reads=unread != "unread")
 
 
 if __name__ == "__main__":
--- a/hollowhitch/net/arrival_queue.py
+++ b/hollowhitch/net/arrival_queue.py
@@ -7,12 +7,13 @@
 
 from __future__ import annotations
 
-import heapq
 import math
 from collections.abc import Callable, Hashable
+from functools import partial
 
 import gevent
 
+from hollowhitch.call_heap import CallHeap, DueCall
 from hollowhitch.clock import Clock
 from hollowhitch.net.cooperation import yield_to_loop
 from hollowhitch.net.loop_monitor import LoopMonitor
@@ -30,26 +31,30 @@
 
     def __init__(self, clock: Clock, loop_monitor: LoopMonitor) -> None:
         self._clock, self._loop_monitor = clock, loop_monitor
-        # Heap of arrival time, serial number, time of `add`, and handler.
-        self._pending: list[tuple[int, int, int, Callable[[bool], None]]] = []
+        self._pending = CallHeap()  # by time of arrival
         # By connection: a time before which none of its input that is not in the queue can have arrived.
         self._unread_since_us: dict[Hashable, int] = {}
         self.handled_until_us = 0  # the latest arrival of a request that was handled
-        self._last_serial = 0
         self._is_dispatching = False
+        # Since when the oldest request has waited for older input of others; None: it does not wait.
+        self._blocked_since_us: int | None = None
 
-    def add(self, arrived_at_us: int, handle: Callable[[bool], None]) -> None:
+    @property
+    def pending_count(self) -> int:
+        """Number of requests in the queue, and of some that were taken out of it."""
+        return len(self._pending)
+
+    def add(self, arrived_at_us: int, handle: Callable[[bool], None]) -> DueCall:
         """Schedule `handle` for when all requests that arrived before `arrived_at_us` are handled.
 
         `handle` must neither block nor raise. Its argument is whether it has waited for so long that the
-        request should be refused.
+        request should be refused. Return a handle that takes the request out of the queue.
         """
-        self._last_serial += 1
-        entry = (arrived_at_us, self._last_serial, self._clock.now_us(), handle)
-        heapq.heappush(self._pending, entry)
+        call = self._pending.add(arrived_at_us, partial(self._handle, handle, self._clock.now_us()))
         if not self._is_dispatching:
             self._is_dispatching = True
             gevent.spawn(self._dispatch)
+        return call
 
     def input_is_unread(self, connection: Hashable, since_us: int) -> None:
         """Note that a connection has input that is not in the queue yet.
@@ -63,7 +68,7 @@
         self._unread_since_us.pop(connection, None)
 
     def _dispatch(self) -> None:
-        while self._pending:
+        while not math.isinf(self._pending.next_due_at()):
             yield_to_loop()  # lets connections that are readable in this iteration be read before
             self._loop_monitor.catch_up()
             self._dispatch_batch()
@@ -72,13 +77,24 @@
     def _dispatch_batch(self) -> None:
         """Handle requests until the event loop is overdue to poll, or an older one may be unread."""
         unread_since_us = min(self._unread_since_us.values(), default=math.inf)
-        while self._pending:
-            arrived_at_us, _, queued_at_us, handle = self._pending[0]
-            is_overdue = self._clock.now_us() - queued_at_us > MAX_QUEUED_US
-            if arrived_at_us > unread_since_us and not is_overdue:
+        while not math.isinf(arrived_at_us := self._pending.next_due_at()):
+            if arrived_at_us <= unread_since_us:
+                self._blocked_since_us = None
+            elif not self._has_waited_long():
                 return
-            heapq.heappop(self._pending)
-            self.handled_until_us = max(self.handled_until_us, arrived_at_us)
-            handle(is_overdue)
+            callback = self._pending.pop_due(arrived_at_us)
+            assert callback is not None
+            self.handled_until_us = max(self.handled_until_us, int(arrived_at_us))
+            callback()
             if self._loop_monitor.poll_overdue:
                 return
+
+    def _has_waited_long(self) -> bool:
+        """Return whether the oldest request has waited for older input for so long that it is refused."""
+        if self._blocked_since_us is None:
+            self._blocked_since_us = self._clock.now_us()
+        return self._clock.now_us() - self._blocked_since_us > MAX_QUEUED_US
+
+    def _handle(self, handle: Callable[[bool], None], queued_at_us: int) -> None:
+        is_overdue = self._clock.now_us() - queued_at_us > MAX_QUEUED_US
+        handle(is_overdue or self._blocked_since_us is not None)
--- a/hollowhitch/net/client_connection.py
+++ b/hollowhitch/net/client_connection.py
@@ -13,6 +13,7 @@
 
 from hollowhitch import log
 from hollowhitch.audit import Audit, Rule
+from hollowhitch.call_heap import DueCall
 from hollowhitch.config import QUERY_STATE_BYTES
 from hollowhitch.gateway import Answer, Failed, Gateway, Query, Refused, Served
 from hollowhitch.lifecycle import ConnectionActivity, ConnectionStage
@@ -106,6 +107,7 @@
         self.peer = PeerState(sock)
         self.receiver = Receiver(sock, host.gateway.clock, host.loop_monitor, pending_since_us)
         self.queries: dict[int, Query] = {}  # open queries, by stream
+        self._queued_requests: dict[int, DueCall] = {}  # requests that wait for their turn, by stream
         # Queries with an order key whose answers the kernel has not taken yet, by stream.
         self._untaken_answers: dict[int, Query] = {}
         self.has_sent_closing = False  # the client was asked to send no new requests on this connection
@@ -195,7 +197,10 @@
         for stream, query in list(self.queries.items()):
             self._remove_query(stream)
             self.host.gateway.client_left(query)
-        self.protocol.open_streams.clear()  # keeps requests in the arrival queue from being submitted
+        for call in self._queued_requests.values():
+            call.cancel()
+        self._queued_requests.clear()
+        self.protocol.open_streams.clear()
         self.memory.release_all()
         self.host.arrival_queue.input_is_read(self)
         self.send_queue.close()
@@ -473,7 +478,7 @@
             self._answer(event.stream, self.host.reject("crowded"))
             return
         reads_late = self._reads_late
-        self.host.arrival_queue.add(
+        self._queued_requests[event.stream] = self.host.arrival_queue.add(
             received.arrived_at_us,
             lambda is_overdue: self._start_request(event, received.earliest_at_us, is_overdue, reads_late),
         )
@@ -481,6 +486,7 @@
     def _start_request(
         self, event: frames.Request, received_at_us: int, is_overdue: bool, was_read_late: bool
     ) -> None:
+        self._queued_requests.pop(event.stream, None)
         try:
             if is_overdue:
                 self._answer(event.stream, self.host.reject("crowded"))
@@ -592,6 +598,8 @@
         return query
 
     def _close_stream(self, stream: int) -> None:
+        if (call := self._queued_requests.pop(stream, None)) is not None:
+            call.cancel()
         self.protocol.close_stream(stream)
         self.memory.release_request(stream)
 
--- a/tests/test_arrival_queue.py
+++ b/tests/test_arrival_queue.py
@@ -46,3 +46,14 @@
     queue.add(15, handled.append)
     run_loop()
     assert handled == [True]
+
+
+# Guards against memory that grows without end while a client takes its requests back at full speed.
+def test_a_request_that_was_taken_back_leaves_the_queue(queue):
+    handled = []
+    for number in range(5_000):
+        queue.add(number, handled.append).cancel()
+    assert queue.pending_count < 1_000
+    queue.add(7, handled.append)
+    run_loop()
+    assert handled == [False]
