--- a/hollowhitch/net/client_connection.py
+++ b/hollowhitch/net/client_connection.py
@@ -3,7 +3,6 @@
 from __future__ import annotations
 
 import contextlib
-import enum
 import time
 from collections.abc import Callable
 from typing import Protocol
@@ -18,6 +17,7 @@
 from hollowhitch.gateway import Answer, Failed, Gateway, Query, Refused, Served
 from hollowhitch.lifecycle import ConnectionActivity, ConnectionStage
 from hollowhitch.net.arrival_queue import ArrivalQueue
+from hollowhitch.net.client_activity import ClientActivity, EvictionRank
 from hollowhitch.net.connection_closing import CloseReason, ConnectionClosing, PendingInput
 from hollowhitch.net.cooperation import yield_to_loop
 from hollowhitch.net.loop_monitor import LoopMonitor
@@ -32,12 +32,7 @@
 
 MAX_QUEUED_BYTES = 256 * 1024  # bytes queued for a client above which its new requests are refused
 READ_PAUSE_BYTES = 512 * 1024  # bytes queued for a client above which nothing more is read from it
-IDLE_TIMEOUT_S = 30.0  # seconds without a byte while no request is open, or without progress of a write
-FRAME_TIMEOUT_S = 2.0  # seconds without a byte within a frame, or before the first one
-MAX_FRAME_S = 30.0  # seconds from a frame's first byte until the frame is complete
-STALLED_FRAME_S = 0.5  # seconds without a byte after which a frame is given up at the connection limit
-RECENTLY_ACTIVE_S = 1.0  # seconds after its last byte or answer for which a connection counts as active
-FIRST_REQUEST_GRACE_S = 0.25  # seconds after connecting in which a first request is probably in transit
+SOCKET_TIMEOUT_S = 30.0  # seconds after which a write without progress fails
 # Seconds for the client to read the last answers and close, after the write side is shut down.
 LINGER_S = 0.5
 # Seconds before the next read for each unusable frame that the client has sent so far, and the longest such
@@ -53,17 +48,6 @@
 DISCARD_READ_BYTES, MAX_DISCARD_READS = 65_536, 16
 
 
-class EvictionRank(enum.IntEnum):
-    """Ranks in which connections are closed at the connection limit, first the lowest."""
-
-    CLOSING = 0
-    SILENT = 1  # without a frame, or within one, for too long
-    IDLE = 2  # between requests for a while
-    SLOW_FIRST_FRAME = 3  # still writing its first frame after a while
-    RECENTLY_ACTIVE = 4  # between requests
-    NEW = 5  # its first request may be in transit
-
-
 class ConnectionHost(Protocol):
     """The frontend that owns a connection, as the connection uses it."""
 
@@ -111,14 +95,7 @@
         # Queries with an order key whose answers the kernel has not taken yet, by stream.
         self._untaken_answers: dict[int, Query] = {}
         self.has_sent_closing = False  # the client was asked to send no new requests on this connection
-        self.has_received_frame = False  # the client has sent a complete frame
-        # Times in monotonic seconds.
-        self.opened_at_s = time.monotonic()
-        self.last_active_at_s = self.opened_at_s  # when the last byte was read or the last answer was queued
-        self.last_read_at_s = self.opened_at_s  # when the last byte was read, or a frame was given up
-        self.frame_started_at_s = self.opened_at_s  # when the first byte of the current frame was read
-        self.last_request_at_s: float | None = None
-        self.last_answer_at_s: float | None = None
+        self.client = ClientActivity(time.monotonic())
         self.unusable_frame_count = 0
         self._throttled_frame_count = 0  # unusable frames for which the next reads were delayed
         self._reads_late = False  # what is read next may have arrived long before requests of others
@@ -130,7 +107,7 @@
             with contextlib.suppress(OSError):  # the connection also works without these options
                 self.sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
                 enable_receive_timestamps(self.sock)
-            self.sock.settimeout(IDLE_TIMEOUT_S)
+            self.sock.settimeout(SOCKET_TIMEOUT_S)
             self._writer = gevent.spawn(self._write)
             self._read()
         except OSError:
@@ -162,8 +139,12 @@
     @property
     def activity(self) -> ConnectionActivity:
         """What the lifecycle's decision on this connection depends on."""
+        client = self.client
         return ConnectionActivity(
-            self.opened_at_s, self.last_request_at_s, self.last_answer_at_s, len(self.protocol.open_streams)
+            client.opened_at_s,
+            client.last_request_at_s,
+            client.last_answer_at_s,
+            len(self.protocol.open_streams),
         )
 
     def apply_stage(self, stage: ConnectionStage, reason: CloseReason) -> None:
@@ -293,7 +274,6 @@
             if received.byte_count == 0:
                 return
             if not self.closing.is_write_shut:  # otherwise the client will see the close, and send it again
-                self.last_active_at_s = self.last_read_at_s
                 self._handle_frames(received)
             if not self.receiver.is_behind:
                 self._reads_late = False
@@ -308,7 +288,7 @@
             size = protocol.bytes_to_skip or len(self.host.discarded_input)
             with memoryview(self.host.discarded_input)[:size] as part:
                 received = self.receiver.receive(part)
-            self.last_read_at_s = time.monotonic()
+            self.client.bytes_read(time.monotonic(), begins_frame=False)
             protocol.skip(received.byte_count)
             return received
         min_bytes = protocol.missing_bytes() if self.memory.has_reserved_frame else MIN_FREE_BYTES
@@ -317,9 +297,7 @@
             free_space[: self._read_size(len(free_space))] as part,
         ):
             received = self.receiver.receive(part)
-        self.last_read_at_s = time.monotonic()
-        if not len(protocol.buffer):
-            self.frame_started_at_s = self.last_read_at_s
+        self.client.bytes_read(time.monotonic(), begins_frame=not len(protocol.buffer))
         protocol.commit(received.byte_count)
         return received
 
@@ -328,7 +306,7 @@
         if not self._reads_late:
             self.host.arrival_queue.input_is_unread(self, received.earliest_at_us)
         while not self.closed and (event := self.protocol.next_event(self._may_buffer)) is not None:
-            self.has_received_frame, self.frame_started_at_s = True, self.last_read_at_s
+            self.client.frame_completed()
             self.memory.release_frame()
             self._handle_event(event, received)
             if len(self.protocol.buffer) and self.host.loop_monitor.poll_overdue:
@@ -386,6 +364,11 @@
     def _is_within_frame(self) -> bool:
         return len(self.protocol.buffer) > 0 or self.protocol.bytes_to_skip > 0
 
+    @property
+    def _is_in_use(self) -> bool:
+        """Whether a request is open, or an answer is being written."""
+        return bool(self.protocol.open_streams) or not self.send_queue.idle
+
     def enforce_timeouts(self, now_s: float) -> None:
         """Close the connection, or give up its incomplete frame, if its client has been silent for too long.
 
@@ -394,13 +377,9 @@
         """
         if self.protocol.broken or self.closing.is_write_shut or unread_bytes(self.sock):
             return  # with unread bytes, this process is late to read, not the client to send
-        if not self.has_received_frame or self._is_within_frame:
-            is_too_long = self._is_within_frame and now_s - self.frame_started_at_s > MAX_FRAME_S
-            if is_too_long or now_s - self.last_read_at_s > FRAME_TIMEOUT_S:
-                self._give_up_frame(now_s)
-            return
-        is_idle = not self.is_closing and not self.protocol.open_streams and self.send_queue.idle
-        if is_idle and now_s - self.last_active_at_s > IDLE_TIMEOUT_S:
+        if self.client.has_timed_out_in_frame(now_s, self._is_within_frame):
+            self._give_up_frame(now_s)
+        elif self.client.has_been_idle(now_s) and not self.is_closing and not self._is_in_use:
             self.close_when_idle(CloseReason.IDLE)
 
     def _give_up_frame(self, now_s: float) -> None:
@@ -409,7 +388,7 @@
         The rest of the request is skipped if it still arrives. While other requests are open, the connection
         stays open, because the client may still write requests and cancellations.
         """
-        self.last_read_at_s = now_s
+        self.client.frame_given_up(now_s)
         self.memory.release_frame()
         event = None if self.protocol.bytes_to_skip else self.protocol.skip_frame(_FRAME_TIMEOUT_TEXT)
         if event is not None:
@@ -426,18 +405,9 @@
         """
         if self.closing.is_write_shut or (self.is_closing and not self.protocol.open_streams):
             return EvictionRank.CLOSING
-        if self.protocol.open_streams or not self.send_queue.idle or unread_bytes(self.sock):
+        if self._is_in_use or unread_bytes(self.sock):
             return None
-        if self._is_within_frame:
-            if now_s - self.last_read_at_s > STALLED_FRAME_S:
-                return EvictionRank.SILENT
-            is_slow = not self.has_received_frame and now_s - self.frame_started_at_s > RECENTLY_ACTIVE_S
-            return EvictionRank.SLOW_FIRST_FRAME if is_slow else None
-        if not self.has_received_frame:
-            is_silent = now_s - self.frame_started_at_s > FIRST_REQUEST_GRACE_S
-            return EvictionRank.SILENT if is_silent else EvictionRank.NEW
-        was_active = now_s - self.last_active_at_s < RECENTLY_ACTIVE_S
-        return EvictionRank.RECENTLY_ACTIVE if was_active else EvictionRank.IDLE
+        return self.client.eviction_rank(now_s, self._is_within_frame)
 
     # Requests and answers
 
@@ -457,7 +427,7 @@
                 code = frames.IS_READY if self.host.ready() else frames.NOT_READY
                 self.send_queue.put(frames.format_ready(event.stream, code))
             case frames.BadRequest():
-                self.last_request_at_s = time.monotonic()
+                self.client.request_received(time.monotonic())
                 self.unusable_frame_count += 1
                 log.event("client", "request not accepted", reason=event.reason)
                 self._answer(event.stream, self.host.reject("crowded"))
@@ -472,7 +442,7 @@
 
     def _queue_request(self, event: frames.Request, received: Received) -> None:
         """Let the request wait for its turn among those of all connections, or refuse it without memory."""
-        self.last_request_at_s = time.monotonic()
+        self.client.request_received(time.monotonic())
         size = len(event.payload) + QUERY_STATE_BYTES
         if not self.memory.hold_request(event.stream, size):
             self._answer(event.stream, self.host.reject("crowded"))
@@ -564,7 +534,7 @@
         if stream not in self.protocol.open_streams:
             return
         self._close_stream(stream)
-        self.last_active_at_s = self.last_answer_at_s = time.monotonic()
+        self.client.answered(time.monotonic())
         if self.send_queue.full and self.host.memory.is_exhausted:
             answer = Failed()  # a client that does not read its results cannot have more of them
         match answer:
--- a/hollowhitch/net/frontend.py
+++ b/hollowhitch/net/frontend.py
@@ -16,7 +16,8 @@
 from hollowhitch.gateway import Gateway, Refused
 from hollowhitch.lifecycle import ConnectionStage, Lifecycle, State
 from hollowhitch.net.arrival_queue import ArrivalQueue
-from hollowhitch.net.client_connection import DISCARD_READ_BYTES, ClientConnection, EvictionRank
+from hollowhitch.net.client_activity import EvictionRank
+from hollowhitch.net.client_connection import DISCARD_READ_BYTES, ClientConnection
 from hollowhitch.net.connection_closing import CloseReason
 from hollowhitch.net.listener import Listener
 from hollowhitch.net.loop_monitor import LoopMonitor
@@ -101,7 +102,7 @@
             return True
         now_s = time.monotonic()
         ranked = [
-            (rank, c.last_active_at_s, id(c), c)
+            (rank, c.client.last_active_at_s, id(c), c)
             for c in self.connections
             if (rank := c.eviction_rank(now_s)) is not None
         ]
--- a/tests/test_proxy.py
+++ b/tests/test_proxy.py
@@ -25,7 +25,7 @@
 from hollowhitch import config as configuration
 from hollowhitch import log
 from hollowhitch.metrics import Metrics
-from hollowhitch.net import client_connection, engine_pools, frontend
+from hollowhitch.net import client_activity, engine_pools, frontend
 from hollowhitch.net.arrival_queue import ArrivalQueue
 from hollowhitch.net.dial import dial
 from hollowhitch.net.loop_monitor import LoopMonitor
@@ -408,7 +408,7 @@
 
     Garbage collections are too rare to free these connections in time.
     """
-    monkeypatch.setattr(client_connection, "FRAME_TIMEOUT_S", 0.05)
+    monkeypatch.setattr(client_activity, "FRAME_TIMEOUT_S", 0.05)
     monkeypatch.setattr(frontend, "SWEEP_INTERVAL_S", 0.01)
     proxy, _ = start_proxy(answer_rows)
     gc.collect()
@@ -566,7 +566,7 @@
 
 
 def test_silent_clients_are_closed_within_a_frame_but_not_between_requests(start_proxy, monkeypatch):
-    monkeypatch.setattr(client_connection, "FRAME_TIMEOUT_S", 0.05)
+    monkeypatch.setattr(client_activity, "FRAME_TIMEOUT_S", 0.05)
     monkeypatch.setattr(frontend, "SWEEP_INTERVAL_S", 0.01)
     proxy, _ = start_proxy(answer_rows)
     quiet, incomplete, silent = Client(proxy), Client(proxy), Client(proxy)
@@ -579,13 +579,13 @@
         assert client.read_answer()[:2] == (0, frames.FAILED) and client.read_frame() is None
     quiet.send_request(2, ref="00000000000000bb")
     assert quiet.read_answer()[1] == frames.SERVED
-    monkeypatch.setattr(client_connection, "IDLE_TIMEOUT_S", 0.0)
+    monkeypatch.setattr(client_activity, "IDLE_TIMEOUT_S", 0.0)
     assert quiet.read_frame() is None
 
 
 # Guards against requests that are thrown away because one ahead of them on the connection is written slowly.
 def test_requests_behind_a_slowly_written_one_are_answered(start_proxy, monkeypatch):
-    monkeypatch.setattr(client_connection, "FRAME_TIMEOUT_S", 0.2)
+    monkeypatch.setattr(client_activity, "FRAME_TIMEOUT_S", 0.2)
     monkeypatch.setattr(frontend, "SWEEP_INTERVAL_S", 0.01)
     proxy, (engine,) = start_proxy(answer_nothing)
     client = Client(proxy)
@@ -601,7 +601,7 @@
 
 # Guards against requests and cancellations that are not read because one ahead of them was given up.
 def test_requests_behind_one_that_stalls_are_answered(start_proxy, monkeypatch):
-    monkeypatch.setattr(client_connection, "FRAME_TIMEOUT_S", 0.05)
+    monkeypatch.setattr(client_activity, "FRAME_TIMEOUT_S", 0.05)
     monkeypatch.setattr(frontend, "SWEEP_INTERVAL_S", 0.01)
     proxy, (engine,) = start_proxy(answer_nothing)
     client = Client(proxy)
