--- a/hollowhitch/policy/interface.py
+++ b/hollowhitch/policy/interface.py
@@ -84,6 +84,14 @@
     PAGE = "page"  # the engine pages to disk
 
 
+class InvalidFieldError(ValueError):
+    """A field of the settings has an unusable value; `class_name` is set if it belongs to a query class."""
+
+    def __init__(self, field: str, requirement: str, class_name: str | None = None) -> None:
+        super().__init__(f"{field} {requirement}" + (f" (class {class_name})" if class_name else ""))
+        self.field, self.requirement, self.class_name = field, requirement, class_name
+
+
 @dataclass(frozen=True, slots=True)
 class EngineKind:
     """A kind of engine and its sizes; None for a size that is not configured."""
@@ -116,11 +124,11 @@
     def __post_init__(self) -> None:
         for field_name in ("target_us", "deadline_us"):
             if getattr(self, field_name) <= 0:
-                raise ValueError(f"class {self.name}: {field_name} must be above 0")
+                raise InvalidFieldError(field_name, "must be above 0", self.name)
         if self.threads < 1:
-            raise ValueError(f"class {self.name}: threads must be at least 1")
+            raise InvalidFieldError("threads", "must be at least 1", self.name)
         if self.retry_safety is RetrySafety.DEDUPLICATED and self.dedup_window_us < 0:
-            raise ValueError(f"class {self.name}: dedup_window_us must not be negative")
+            raise InvalidFieldError("dedup_window_us", "must not be negative", self.name)
 
 
 @dataclass(frozen=True, slots=True)
@@ -209,15 +217,15 @@
 
     def __post_init__(self) -> None:
         if self.gateway_count < 1:
-            raise ValueError("gateway_count must be at least 1")
+            raise InvalidFieldError("gateway_count", "must be at least 1")
         # An index past the count is allowed: gateways may have been added since the count was configured.
         if self.gateway_index < 0:
-            raise ValueError("gateway_index must not be negative")
+            raise InvalidFieldError("gateway_index", "must not be negative")
         if not self.classes:
-            raise ValueError("classes must not be empty")
+            raise InvalidFieldError("classes", "must not be empty")
         class_names = [c.name for c in self.classes]
         if len(set(class_names)) != len(class_names):
-            raise ValueError("classes must have different names")
+            raise InvalidFieldError("classes", "must have different names")
         for query_class in self.classes:
             kind_names = {k.name for k in self.kinds}
             if (
@@ -225,18 +233,18 @@
                 and kind_names
                 and not kind_names >= set(query_class.only_kinds)
             ):
-                raise ValueError(f"class {query_class.name}: only_kinds has a kind that is not in kinds")
+                raise InvalidFieldError("only_kinds", "has a kind that is not in kinds", query_class.name)
             if (
                 query_class.only_zones is not None
                 and self.zones
                 and not set(self.zones) >= set(query_class.only_zones)
             ):
-                raise ValueError(f"class {query_class.name}: only_zones has a zone that is not in zones")
+                raise InvalidFieldError("only_zones", "has a zone that is not known", query_class.name)
         rules = self.rules
         if rules.retry_budget_share is not None and rules.retry_budget_window_us <= 0:
-            raise ValueError("retry_budget_window_us must be above 0 if retry_budget_share is set")
+            raise InvalidFieldError("retry_budget_window_us", "must be above 0 if there is a budget")
         if self.limits.max_attempts < 1:
-            raise ValueError("max_attempts must be at least 1")
+            raise InvalidFieldError("max_attempts", "must be at least 1")
 
 
 @dataclass(frozen=True, slots=True)
--- a/hollowhitch/settings.py
+++ b/hollowhitch/settings.py
@@ -9,6 +9,7 @@
 from hollowhitch.policy.interface import (
     DedupScope,
     EngineKind,
+    InvalidFieldError,
     Limits,
     LoadReport,
     MemoryShortagePolicy,
@@ -45,6 +46,21 @@
 }
 EMPTY_REPORT: dict[str, float | None] = dict.fromkeys(REPORT_FIELDS.values())
 
+# Keys of the settings, by the fields of `Settings` and its parts that check their values.
+FIELD_KEYS = {
+    "target_us": "classes[].goalTimeUs",
+    "deadline_us": "classes[].deadlineUs",
+    "threads": "extra.parallelism",
+    "dedup_window_us": "classes[].repeatWindowUs",
+    "only_kinds": "classes[].kindsOnly",
+    "only_zones": "classes[].areasOnly",
+    "gateway_count": "replicasOfMe",
+    "gateway_index": "position",
+    "classes": "classes",
+    "retry_budget_window_us": "rules.budgetWindowUs",
+    "max_attempts": "bounds.maxAttempts",
+}
+
 REQUIRED = object()  # passed instead of a default where the key must be present
 
 
@@ -220,7 +236,10 @@
         )
     except SettingsError:
         raise
-    except ValueError as e:  # raised by a check of a class in `policy.interface`
+    except InvalidFieldError as e:
+        owner = f" of class {e.class_name!r}" if e.class_name else ""
+        raise SettingsError(f"{root.key(FIELD_KEYS[e.field])}{owner} {e.requirement}") from None
+    except ValueError as e:
         raise SettingsError(f"{path or 'settings'}: {e}") from None
 
 
