Bound the time for which requests wait for the input of one connection

Seen with test_others_are_served_beside_floods_of_small_requests (twice in the whole suite): usual requests waited up to 2 s and 31 of 215 were refused. Trace: a flood's connection was never read to its end and so stayed "unread since" its beginning, and one whose client had closed with 3 MB unread took the reader's time.

--- a/hollowhitch/net/arrival_queue.py
+++ b/hollowhitch/net/arrival_queue.py
@@ -21,6 +21,9 @@
 # Microseconds after which a waiting request is not worth its time any more. Refusing it is quicker than to
 # start it, so that thousands of requests at once do not delay those that come after them.
 MAX_QUEUED_US = 1_000_000
+# Microseconds for which requests wait for the older input of one connection. A client may send faster than
+# its input can be read.
+MAX_BEHIND_US = 250_000
 
 
 class ArrivalQueue:
--- a/hollowhitch/net/client_connection.py
+++ b/hollowhitch/net/client_connection.py
@@ -16,7 +16,7 @@
 from hollowhitch.config import QUERY_STATE_BYTES
 from hollowhitch.gateway import Answer, Failed, Gateway, Query, Refused, Served
 from hollowhitch.lifecycle import ConnectionActivity, ConnectionStage
-from hollowhitch.net.arrival_queue import ArrivalQueue
+from hollowhitch.net.arrival_queue import MAX_BEHIND_US, ArrivalQueue
 from hollowhitch.net.client_activity import ClientActivity, EvictionRank
 from hollowhitch.net.connection_closing import CloseReason, ConnectionClosing, PendingInput
 from hollowhitch.net.cooperation import yield_to_loop
@@ -266,7 +266,9 @@
     def _read(self) -> None:
         while not self.closed:
             self._wait_for_slow_client()
-            self._reads_late = self._reads_late or self.receiver.may_hide_close()
+            if self.receiver.is_behind and self.peer.has_closed:
+                return  # nobody waits for the rest of the input
+            self._check_lateness()
             try:
                 received = self._receive()
             except TimeoutError:
@@ -312,9 +314,16 @@
             if len(self.protocol.buffer) and self.host.loop_monitor.poll_overdue:
                 self.receiver.pause()
                 yield_to_loop()
+                self._check_lateness()
         if self._reads_late or not self.receiver.is_behind:
             self.host.arrival_queue.input_is_read(self)
 
+    def _check_lateness(self) -> None:
+        """Let others not wait for the input of this connection, if it has been behind for too long."""
+        if self.receiver.may_hide_close() or self.receiver.has_been_behind_for(MAX_BEHIND_US):
+            self._reads_late = True
+            self.host.arrival_queue.input_is_read(self)
+
     def _pause_reading(self) -> None:
         """Note that nothing is read for a while, and that the requests of others do not wait for it."""
         self.receiver.pause()
--- a/hollowhitch/net/receive_times.py
+++ b/hollowhitch/net/receive_times.py
@@ -141,6 +141,10 @@
         """Whether bytes were still unread after the last read."""
         return self._behind_since_us > 0
 
+    def has_been_behind_for(self, duration_us: int) -> bool:
+        """Return whether bytes were unread after each read for that time or longer."""
+        return self.is_behind and self._clock.now_us() - self._behind_since_us >= duration_us
+
     def may_hide_close(self) -> bool:
         """Return whether the peer may have closed the connection long ago without the kernel's knowledge.
 
