Serve without a subscription where the channel is followed anyway, and without an age of lists

The process now tells its controller that lists come on their own, and no configured age means no limit. Two incident tests that looked at no violations do so now (in one, whose clients read nothing, all rules but lost answers).

--- a/hollowhitch/__main__.py
+++ b/hollowhitch/__main__.py
@@ -78,8 +78,10 @@
             self.membership,
             self.audit,
         )
+        # The channel is always followed, so the controller need not subscribe to the list of engines.
+        settings = dataclasses.replace(config.settings, subscribes_to_list=False)
         self.gateway = Gateway(
-            config.settings, config.seed, self.engine_pools, timers.call_later, self.clock, self.metrics
+            settings, config.seed, self.engine_pools, timers.call_later, self.clock, self.metrics
         )
         self.engine_pools.gateway = self.gateway
         self.frontend = Frontend(config, self.gateway, self.loop_monitor, self.lifecycle, self.audit)
--- a/hollowhitch/policy/interface.py
+++ b/hollowhitch/policy/interface.py
@@ -163,7 +163,7 @@
 
     answer_slack_us: int  # time after a query's expiry up to which an answer is not late
     drain_grace_us: int  # not used by the controller: a drain takes effect at once
-    list_max_age_us: int | None  # age above which the last list is out of date if not subscribed; None: 0
+    list_max_age_us: int | None  # age above which the last list is out of date if not subscribed; None: none
     start_capacity_share: float  # capacity right after the start, as a share of the full capacity
     slow_start_us: int  # age at which an engine has its full capacity
     slow_start_multiple: float  # 0: no limit
--- a/hollowhitch/policy/state.py
+++ b/hollowhitch/policy/state.py
@@ -180,15 +180,19 @@
         repeat_within_us = self.repeat_within_us(query)
         if repeat_within_us is not None and repeat_within_us <= 0:
             return False
-        stale = not self.subscribed and self.now_us - (self.listed_at_us or 0) > (
-            self.settings.rules.list_max_age_us or 0
-        )
         return at_any_time or (
-            not stale
+            not self._is_list_out_of_date()
             and self.key_order.may_start(query.id, self.now_us)
             and (not query.attempts or self.has_retry_budget())
         )
 
+    def _is_list_out_of_date(self) -> bool:
+        """Return whether the last list is too old to send anything, since nothing keeps it up to date."""
+        max_age_us = self.settings.rules.list_max_age_us
+        if self.subscribed or max_age_us is None:
+            return False
+        return self.now_us - (self.listed_at_us or 0) > max_age_us
+
     def repeat_within_us(self, query: Query) -> int | None:
         """Return within which time a query that may have run must be sent again, or not at all (rule 2).
 
--- a/tests/test_fault_incidents.py
+++ b/tests/test_fault_incidents.py
@@ -99,6 +99,8 @@
     gevent.sleep(0.2)
     harness.proxies[0].send_signal(signal.SIGTERM)
     assert harness.proxies[0].wait_for_exit(shutdown_grace_s(harness.settings))
+    # The clients read nothing, so they get no answers.
+    assert [text for text in violations(harness) if not text.startswith("lost: ")] == []
 
 
 @pytest.mark.parametrize("deadline_s", [0.5, 3.0])
@@ -166,6 +168,7 @@
     log = harness.proxies[0].log_path.read_text()
     assert "Traceback" not in log
     assert "accept" in log and len(log.splitlines()) < 20
+    assert violations(harness) == []
 
 
 @pytest.mark.parametrize("call", [Call.SOCKET, Call.CONNECT])
--- a/tests/test_proxy.py
+++ b/tests/test_proxy.py
@@ -802,6 +802,16 @@
     assert "channel: 'nowhere' is not host:port" in output and "is not JSON" in output
 
 
+# Guards against a process that follows the channel, but sends nothing for want of a subscription.
+def test_requests_are_served_where_the_settings_want_a_subscription(start_proxy, monkeypatch):
+    monkeypatch.setitem(sample_config.SETTINGS, "discovery", "subscribe")
+    monkeypatch.setitem(sample_config.SETTINGS["rules"], "mustAskInUs", 1)
+    proxy, _ = start_proxy(answer_rows)
+    client = Client(proxy)
+    client.send_request(1)
+    assert client.read_answer()[:2] == (1, frames.SERVED)
+
+
 def test_the_program_survives_sighup_and_exits_with_0_after_sigterm(tmp_path):
     path = tmp_path / "c.json"
     path.write_text(json.dumps(sample_config.make_config(sample_config.make_member("e0", 1))))
--- a/tests/test_rules.py
+++ b/tests/test_rules.py
@@ -149,6 +149,15 @@
     assert of_type(api.Send, driver.apply_list(api.ListKind.FULL, make_engine("e1")))
 
 
+# Guards against a gateway that sends nothing at all where the settings state no age for lists.
+def test_without_a_configured_age_a_list_does_not_go_out_of_date():
+    settings = make_controller_settings(subscribes_to_list=True, rules={"list_max_age_us": None})
+    driver = ControllerDriver(make_engine("e1"), settings=settings)
+    driver.apply_list(api.ListKind.FAILED)
+    driver.advance(60 * SECOND_US)
+    assert of_type(api.Send, driver.submit("late"))
+
+
 def test_engine_in_slow_start_gets_no_more_than_this_gateways_part_of_the_budget():
     driver = ControllerDriver(make_engine("e1", started_at_us=10 * SECOND_US - 100_000))
     sent_count = sum(len(of_type(api.Send, driver.submit())) for _ in range(200))
