--- a/tests/test_proxy.py
+++ b/tests/test_proxy.py
@@ -583,15 +583,21 @@
     assert quiet.read_frame() is None
 
 
-# Guards against requests that are thrown away because one ahead of them on the connection is written slowly.
-def test_requests_behind_a_slowly_written_one_are_answered(start_proxy, monkeypatch):
-    monkeypatch.setattr(client_activity, "FRAME_TIMEOUT_S", 0.2)
-    monkeypatch.setattr(frontend, "SWEEP_INTERVAL_S", 0.01)
+def start_with_an_open_request(start_proxy) -> tuple[Client, ScriptedEngine]:
+    """Return a client with an open request on stream 1, and the engine, which serves all later ones."""
     proxy, (engine,) = start_proxy(answer_nothing)
     client = Client(proxy)
     client.send_request(1)
     engine.wait_for_line("REQ")
     engine.respond = answer_rows
+    return client, engine
+
+
+# Guards against requests that are thrown away because one ahead of them on the connection is written slowly.
+def test_requests_behind_a_slowly_written_one_are_answered(start_proxy, monkeypatch):
+    monkeypatch.setattr(client_activity, "FRAME_TIMEOUT_S", 0.2)
+    monkeypatch.setattr(frontend, "SWEEP_INTERVAL_S", 0.01)
+    client, engine = start_with_an_open_request(start_proxy)
     slow = request_frame(2, b"select 1".ljust(80_000), ref="00000000000000bb")
     for offset in range(0, len(slow), len(slow) // 8):
         client.sock.sendall(slow[offset : offset + len(slow) // 8])
@@ -603,11 +609,7 @@
 def test_requests_behind_one_that_stalls_are_answered(start_proxy, monkeypatch):
     monkeypatch.setattr(client_activity, "FRAME_TIMEOUT_S", 0.05)
     monkeypatch.setattr(frontend, "SWEEP_INTERVAL_S", 0.01)
-    proxy, (engine,) = start_proxy(answer_nothing)
-    client = Client(proxy)
-    client.send_request(1)
-    engine.wait_for_line("REQ")
-    engine.respond = answer_rows
+    client, engine = start_with_an_open_request(start_proxy)
     stalled = request_frame(2, b"select 1".ljust(80_000), ref="00000000000000bb")
     client.sock.sendall(stalled[:40_000])
     assert client.read_answer()[:2] == (2, frames.REFUSED)
