--- a/hollowhitch/net/client_connection.py
+++ b/hollowhitch/net/client_connection.py
@@ -98,6 +98,7 @@
         self.client = ClientActivity(time.monotonic())
         self.unusable_frame_count = 0
         self._throttled_frame_count = 0  # unusable frames for which the next reads were delayed
+        self._is_handling_frames = False  # the buffer may contain complete frames
         self._reads_late = False  # what is read next may have arrived long before requests of others
         self._writer: gevent.Greenlet | None = None
 
@@ -166,7 +167,7 @@
         """Give every open request its final answer now, and wait no longer for the rest of a frame."""
         for query in list(self.queries.values()):
             self.host.gateway.terminate_query(query)
-        if len(self.protocol.buffer) and not self.protocol.broken and not unread_bytes(self.sock):
+        if len(self.protocol.buffer) and not self.protocol.broken and not self._has_pending_input:
             self.memory.release_frame()
             self._handle_event(self.protocol.abort(_FRAME_TIMEOUT_TEXT))
 
@@ -307,6 +308,7 @@
         """Handle the frames that are complete, and let other greenlets run whenever the loop is overdue."""
         if not self._reads_late:
             self.host.arrival_queue.input_is_unread(self, received.earliest_at_us)
+        self._is_handling_frames = True
         while not self.closed and (event := self.protocol.next_event(self._may_buffer)) is not None:
             self.client.frame_completed()
             self.memory.release_frame()
@@ -315,6 +317,7 @@
                 self.receiver.pause()
                 yield_to_loop()
                 self._check_lateness()
+        self._is_handling_frames = False
         if self._reads_late or not self.receiver.is_behind:
             self.host.arrival_queue.input_is_read(self)
 
@@ -373,6 +376,11 @@
     def _is_within_frame(self) -> bool:
         return len(self.protocol.buffer) > 0 or self.protocol.bytes_to_skip > 0
 
+    @property
+    def _has_pending_input(self) -> bool:
+        """Whether bytes are unread, or complete frames may wait in the buffer."""
+        return self._is_handling_frames or unread_bytes(self.sock) > 0
+
     @property
     def _is_in_use(self) -> bool:
         """Whether a request is open, or an answer is being written."""
@@ -384,8 +392,8 @@
         A client may be silent for long between requests, but not before its first frame or within a frame.
         `now_s` is in monotonic seconds.
         """
-        if self.protocol.broken or self.closing.is_write_shut or unread_bytes(self.sock):
-            return  # with unread bytes, this process is late to read, not the client to send
+        if self.protocol.broken or self.closing.is_write_shut or self._has_pending_input:
+            return  # with pending input, this process is late to read, not the client to send
         if self.client.has_timed_out_in_frame(now_s, self._is_within_frame):
             self._give_up_frame(now_s)
         elif self.client.has_been_idle(now_s) and not self.is_closing and not self._is_in_use:
@@ -414,7 +422,7 @@
         """
         if self.closing.is_write_shut or (self.is_closing and not self.protocol.open_streams):
             return EvictionRank.CLOSING
-        if self._is_in_use or unread_bytes(self.sock):
+        if self._is_in_use or self._has_pending_input:
             return None
         return self.client.eviction_rank(now_s, self._is_within_frame)
 
--- a/tests/test_proxy.py
+++ b/tests/test_proxy.py
@@ -25,7 +25,7 @@
 from hollowhitch import config as configuration
 from hollowhitch import log
 from hollowhitch.metrics import Metrics
-from hollowhitch.net import client_activity, engine_pools, frontend
+from hollowhitch.net import client_activity, client_connection, engine_pools, frontend
 from hollowhitch.net.arrival_queue import ArrivalQueue
 from hollowhitch.net.dial import dial
 from hollowhitch.net.loop_monitor import LoopMonitor
@@ -605,6 +605,19 @@
     assert client.read_answer()[:2] == (2, frames.SERVED)
 
 
+# Guards against complete frames that are given up because a busy process is late to handle them.
+def test_frames_that_this_process_is_late_to_handle_are_not_given_up(start_proxy, monkeypatch):
+    monkeypatch.setattr(client_activity, "FRAME_TIMEOUT_S", 0.05)
+    monkeypatch.setattr(frontend, "SWEEP_INTERVAL_S", 0.01)
+    monkeypatch.setattr(LoopMonitor, "poll_overdue", True)
+    monkeypatch.setattr(client_connection, "yield_to_loop", lambda: gevent.sleep(0.01))
+    proxy, _ = start_proxy(answer_rows)
+    client = Client(proxy)
+    cancellations = b"".join(frames.format_frame(frames.CANCEL, stream) for stream in range(2, 32))
+    client.sock.sendall(cancellations + request_frame(1, b"select 1"))
+    assert client.read_answer()[:2] == (1, frames.SERVED)
+
+
 # Guards against requests and cancellations that are not read because one ahead of them was given up.
 def test_requests_behind_one_that_stalls_are_answered(start_proxy, monkeypatch):
     monkeypatch.setattr(client_activity, "FRAME_TIMEOUT_S", 0.05)
