Date the end of a request that a silent stub engine reads only after its reset

Trace: engine s- fell silent at 2.783, was reset 0.67 s later and answered again from 5.8 s on, with three pages a result. The proxy's log has both attempts sent to it after 2.79, cancelled after 118 ms (the STOP taken 4 ms before), and then sent again. The stub read the requests after its reset, when the STOP was lost with its socket; their pages were never fetched, so they never got an end. They get one now, that counts as read late. Measured: the new test of test_fault_dating.py fails with the old stub (no end) and passes; 98 tests of the dating and the checker pass.

--- a/faults/engines.py
+++ b/faults/engines.py
@@ -161,6 +161,10 @@
         )
         self.engine.run.attempts.append(attempt)
         self.attempts[ref] = attempt
+        if self.closed:  # reset while the engine was silent: a STOP may have been lost unread
+            self._record_end(ref, AttemptEnd.RESET)
+            attempt.end_read_late = True
+            return
         gevent.spawn(self._run_query, ref, attempt)
 
     def _run_query(self, ref: str, attempt: AttemptRecord) -> None:
--- a/tests/test_fault_dating.py
+++ b/tests/test_fault_dating.py
@@ -80,3 +80,20 @@
     engine.stop()
     (attempt,) = run.attempts
     assert attempt.ended_earliest_at is not None and attempt.ended_earliest_at <= given_up_at
+
+
+# Guards against two attempts in flight that are only seen because the stub was reset before it read a STOP.
+def test_a_request_that_a_silent_engine_reads_after_its_reset_has_an_end_that_may_be_late():
+    run = RunRecord()
+    engine = StubEngine("s-1", "127.0.0.1", run, random.Random(1))
+    engine.behaviour.silent = True
+    with socket.create_connection((engine.host, engine.port)) as sock:
+        sock.sendall(b"REQ 00000000000000aa class=safe,wait=900 8\r\nselect 1\r\n")
+        gevent.sleep(0.1)
+        sock.sendall(b"STOP 00000000000000aa\r\n")
+        engine.reset_all()
+    engine.behaviour = Behaviour(pages=3)
+    gevent.sleep(0.1)
+    engine.stop()
+    (attempt,) = run.attempts
+    assert attempt.end is not None and attempt.end_read_late
