--- /dev/null
+++ b/tests/test_client_floods.py
@@ -0,0 +1,27 @@
+"""Usual clients beside floods from several processes at once, which write ready-made frames at full speed."""
+
+from __future__ import annotations
+
+import pytest
+
+from faults.flood_trial import run_trial
+
+FLOOD_S = 3.0
+MAX_LATENESS_S = 0.1  # how much later than its time an answer may come
+MIN_SERVED_SHARE = 0.95
+MEMORY_MB = 32
+
+
+def check(folder, kinds: list[str], count: int) -> None:
+    result = run_trial(folder, kinds, count, FLOOD_S, MEMORY_MB)
+    assert all(flood.was_held_back for flood in result.floods)
+    assert not result.lost(), result.describe()
+    assert result.latest_s() <= MAX_LATENESS_S, result.describe()
+    assert result.served_share() >= MIN_SERVED_SHARE, result.describe()
+    assert result.peak_memory_mb <= MEMORY_MB
+
+
+# Guards against answers that come late while several clients send requests and take them back at full speed.
+@pytest.mark.parametrize("kind", ["taken-back", "taken-back-new-names", "taken-back-new-keys"])
+def test_answers_are_in_time_beside_eight_floods_that_are_taken_back(tmp_path, kind):
+    check(tmp_path, [kind], 8)
