Give out the time for client input by turns, and watch a request from its read on

Cause: each connection's reader ran until the event loop was overdue, and the dispatcher of read requests came after them all, with nothing left: it handled one request per iteration while the readers filled its queue. Nobody owned the time, and nothing watched a request before its submission.

Change: InputScheduler gives turns to connections with unread input, by deficit round robin with a list for those that were idle (FairQueue), in a share of each pass, and then starts requests in a share of its own. RequestQueue, which replaces ArrivalQueue, gives the connections turns too, keeps the order of arrival for each key, and starts nothing of a connection whose input is not read to its end, since a cancellation may lie there. The greenlet of each reader is gone: ConnectionReader reads without blocking. Gateway.watch refuses a request in time from its read on. After a stall frames are still read one by one, but no longer because a client sends much; FIONREAD and the connection's state are asked at most once per turn.

Why it works: what a client makes the process do is charged to it, by the time that it takes, and none of it can take the share for starting requests, nor the rest of an iteration.

Requests without a key no longer wait for unread input of others: only order needs that. Metrics of the time in each state, passes and shares, and a log line with the address of a client that exceeds its share, stay.

--- a/hollowhitch/gateway.py
+++ b/hollowhitch/gateway.py
@@ -82,6 +82,7 @@
     expires_at_us: int = 0
     client_gives_up_at_us: int = 0  # when the client stops waiting, a little after `expires_at_us`
     received_at_us: int = 0
+    submitted_at_us: int = 0
     finished: bool = False  # it was answered, or its client no longer waits
     # Whether the controller has still to be told that the answer has left the process.
     awaits_delivery: bool = False
@@ -172,10 +173,9 @@
         self._last_query_number += 1
         query_id = f"q{self._last_query_number}"
         allowed_us = query.arrival.expires_in_us
-        query.expires_at_us = (
-            received_at_us + allowed_us - min(ANSWER_MARGIN_US, int(allowed_us * ANSWER_MARGIN_SHARE))
-        )
-        remaining_us = max(0, query.expires_at_us - self.clock.now_us())
+        query.expires_at_us = _expiry_us(received_at_us, allowed_us)
+        query.submitted_at_us = self.clock.now_us()
+        remaining_us = max(0, query.expires_at_us - query.submitted_at_us)
         query.awaits_delivery = query.arrival.key is not None
         query.arrival = dataclasses.replace(
             query.arrival, id=query_id, expires_in_us=remaining_us, awaits_delivery=query.awaits_delivery
@@ -185,10 +185,17 @@
         self.queries[query_id] = query
         self.unanswered_count += 1
         self.metrics.requests.add(query.arrival.class_name)
-        watchdog_s = (remaining_us + WATCHDOG_DELAY_US) / 1e6
-        query.watchdog = self._call_later(watchdog_s, lambda: self._end_overdue(query))
+        query.watchdog = self.watch(received_at_us, allowed_us, lambda: self._end_overdue(query))
         self.post(query.arrival)
 
+    def watch(self, received_at_us: int, allowed_us: int, end_overdue: Callable[[], None]) -> Timer:
+        """Call `end_overdue` when a request needs its answer, and return a handle that prevents the call.
+
+        A request is watched from its read on: until it is submitted by whoever has read it, then by `submit`.
+        """
+        remaining_us = max(0, _expiry_us(received_at_us, allowed_us) - self.clock.now_us())
+        return self._call_later((remaining_us + WATCHDOG_DELAY_US) / 1e6, end_overdue)
+
     def client_left(self, query: Query) -> None:
         """End a query whose client no longer waits for the answer, if it is not finished."""
         if not query.finished:
@@ -349,6 +356,8 @@
             attempt.send_by_us = now_us + action.send_within_us
         if query.attempts:
             self._record_retry(query, attempt)
+        else:
+            self.metrics.held_time.observe((now_us - query.submitted_at_us) / 1e6)
         query.attempts.append(attempt)
         if query.finished or expires_at_us <= now_us:  # the client has left, or no time remains
             self.attempt_ended(attempt, api.Outcome.NEVER_SENT)
@@ -379,6 +388,7 @@
         query, elapsed_us = attempt.query, self.clock.now_us() - attempt.sent_at_us
         attempt.outcome = outcome
         self.metrics.attempts.add(outcome.value)
+        self.metrics.attempt_time.observe(elapsed_us / 1e6)
         if outcome is not api.Outcome.OK:
             log.event(
                 "attempt",
@@ -476,3 +486,8 @@
         self.post(api.ClientLeft(query.arrival.id))
         for attempt in list(query.attempts):
             self._cancel_attempt(attempt, api.Outcome.TIMEOUT)
+
+
+def _expiry_us(received_at_us: int, allowed_us: int) -> int:
+    """Return when a query expires here, which is before its client stops waiting."""
+    return received_at_us + allowed_us - min(ANSWER_MARGIN_US, int(allowed_us * ANSWER_MARGIN_SHARE))
--- a/hollowhitch/metrics.py
+++ b/hollowhitch/metrics.py
@@ -19,9 +19,9 @@
 
     def __init__(self, name: str, label: str, help_text: str) -> None:
         self.name, self.label, self.help_text = name, label, help_text
-        self.values: dict[str, int] = {}
+        self.values: dict[str, float] = {}
 
-    def add(self, label_value: str, amount: int = 1) -> None:
+    def add(self, label_value: str, amount: float = 1) -> None:
         """Add `amount` to the count of a label value."""
         if label_value not in self.values and len(self.values) >= MAX_LABEL_VALUES:
             label_value = "other"
@@ -32,7 +32,7 @@
         yield f"# HELP {self.name} {self.help_text}"
         yield f"# TYPE {self.name} counter"
         for label_value, count in sorted(self.values.items()):
-            yield f'{self.name}{{{self.label}="{label_value}"}} {count}'
+            yield f'{self.name}{{{self.label}="{label_value}"}} {count:.10g}'
 
 
 class Histogram:
@@ -102,10 +102,31 @@
             "hollowhitch_violations_total", "rule", "Rules found broken by the process itself."
         )
         self.latency = Histogram("hollowhitch_latency_seconds", "From taking a request to its answer.")
+        # Time of a request in each state that it passes through.
+        self.unread_time = Histogram("hollowhitch_unread_seconds", "From a request's arrival to its read.")
+        self.queued_time = Histogram("hollowhitch_queued_seconds", "From a request's read to its start.")
+        self.held_time = Histogram("hollowhitch_held_seconds", "From a query's start to its first attempt.")
+        self.attempt_time = Histogram("hollowhitch_attempt_seconds", "From an attempt's start to its end.")
+        self.answer_queued_time = Histogram(
+            "hollowhitch_answer_queued_seconds", "From an answer to when the kernel has taken it."
+        )
+        self.late_inputs = Counter(
+            "hollowhitch_late_inputs_total", "state", "Times a client's input was late to be read."
+        )
+        self.share_seconds = Counter(
+            "hollowhitch_share_seconds_total", "share", "Time spent on client input, by share."
+        )
+        self.passes = Counter("hollowhitch_passes_total", "share", "Passes over client input.")
         self.cpu_seconds = Gauge("hollowhitch_cpu_seconds", "Processor time used.")
         self.memory_bytes = Gauge("hollowhitch_memory_bytes", "The most memory held so far.")
         self.loop_stalls = Histogram("hollowhitch_standstill_seconds", "Times the event loop stood still.")
 
+    def add_pass(self, read_s: float, start_s: float) -> None:
+        """Count a pass over client input, and the seconds that it spent on each share."""
+        self.passes.add("input")
+        self.share_seconds.add("read", read_s)
+        self.share_seconds.add("start", start_s)
+
     def text(self) -> str:
         """Return all metrics in the Prometheus text format."""
         metric_types = Counter | Histogram | Gauge
--- a/hollowhitch/net/client_connection.py
+++ b/hollowhitch/net/client_connection.py
@@ -5,6 +5,7 @@
 import contextlib
 import time
 from collections.abc import Callable
+from dataclasses import dataclass
 from typing import Protocol
 
 import gevent
@@ -12,38 +13,32 @@
 
 from hollowhitch import log
 from hollowhitch.audit import Audit, Rule
-from hollowhitch.call_heap import DueCall
+from hollowhitch.clock import US_PER_S
 from hollowhitch.config import QUERY_STATE_BYTES
-from hollowhitch.gateway import Answer, Failed, Gateway, Query, Refused, Served
+from hollowhitch.gateway import Answer, Failed, Gateway, Query, Refused, Served, Timer
 from hollowhitch.lifecycle import ConnectionActivity, ConnectionStage
-from hollowhitch.net.arrival_queue import MAX_BEHIND_US, ArrivalQueue
 from hollowhitch.net.client_activity import ClientActivity, EvictionRank
 from hollowhitch.net.connection_closing import CloseReason, ConnectionClosing, PendingInput
-from hollowhitch.net.cooperation import yield_to_loop
+from hollowhitch.net.connection_reader import ConnectionReader, PauseReason
+from hollowhitch.net.input_scheduler import InputScheduler
 from hollowhitch.net.loop_monitor import LoopMonitor
 from hollowhitch.net.memory_budget import ConnectionMemory, MemoryBudget
-from hollowhitch.net.peer_state import PeerState
 from hollowhitch.net.query_refs import QueryRefs
 from hollowhitch.net.receive_times import Received, Receiver, enable_receive_timestamps
+from hollowhitch.net.request_queue import QueuedRequest
 from hollowhitch.net.send_queue import SendQueue
 from hollowhitch.net.unread import unread_bytes
 from hollowhitch.protocol import frames
-from hollowhitch.protocol.buffer import MIN_FREE_BYTES
 
 MAX_QUEUED_BYTES = 256 * 1024  # bytes queued for a client above which its new requests are refused
 READ_PAUSE_BYTES = 512 * 1024  # bytes queued for a client above which nothing more is read from it
 SOCKET_TIMEOUT_S = 30.0  # seconds after which a write without progress fails
 # Seconds for the client to read the last answers and close, after the write side is shut down.
 LINGER_S = 0.5
-# Seconds before the next read for each unusable frame that the client has sent so far, and the longest such
-# delay.
-UNUSABLE_FRAME_DELAY_S, MAX_UNUSABLE_FRAME_DELAY_S = 0.01, 0.5
-# Longest delay in seconds after an unusable frame while requests are open, because a cancellation must be
-# noticed within 0.1 s.
-MAX_DELAY_WITH_OPEN_S = 0.05
-DISCARD_INTERVAL_S = 0.05  # seconds between reads of input that is discarded
 REQUEST_COPIES = 3  # copies of a request that are in memory while it is submitted and written to an engine
-LARGE_FRAME_BYTES = 4096  # frames above this size are buffered only if the memory limit allows it
+# Microseconds after which a request that was not started is not worth its time any more. Refusing it is
+# quicker than to start it, so that thousands of requests at once do not delay those that come after them.
+MAX_QUEUED_US = 1_000_000
 _FRAME_TIMEOUT_TEXT = CloseReason.FRAME_TIMEOUT.value
 # Size in bytes and number of the reads that discard unread bytes before a socket is closed.
 DISCARD_READ_BYTES, MAX_DISCARD_READS = 65_536, 16
@@ -55,7 +50,7 @@
     gateway: Gateway
     loop_monitor: LoopMonitor
     audit: Audit
-    arrival_queue: ArrivalQueue
+    scheduler: InputScheduler
     request_validator: frames.RequestValidator
     refs: QueryRefs
     memory: MemoryBudget
@@ -74,6 +69,15 @@
         """Note that the connection is closed."""
 
 
+@dataclass(frozen=True, slots=True)
+class _QueuedRequest:
+    """A request that was read and not started, and the timer that refuses it in time."""
+
+    request: QueuedRequest
+    watchdog: Timer
+    queued_at_us: int
+
+
 class ClientConnection:
     """A connection that reads requests, submits them in order of arrival, and writes the answers.
 
@@ -88,22 +92,25 @@
         self.protocol = frames.ClientProtocol()
         self.closing = ConnectionClosing()
         self.memory = ConnectionMemory(host.memory)
-        self.send_queue = SendQueue(sock, MAX_QUEUED_BYTES, READ_PAUSE_BYTES, budget=host.memory)
-        self.peer = PeerState(sock)
-        self.receiver = Receiver(sock, host.gateway.clock, host.loop_monitor, pending_since_us)
+        clock = host.gateway.clock
+        receiver = Receiver(sock, clock, host.loop_monitor, pending_since_us)
+        self.reader = ConnectionReader(self, receiver, sock, host.scheduler, clock)
+        self.send_queue = SendQueue(
+            sock,
+            MAX_QUEUED_BYTES,
+            READ_PAUSE_BYTES,
+            budget=host.memory,
+            on_below_threshold=lambda: self.reader.resume(PauseReason.UNREAD_ANSWERS),
+        )
         self.queries: dict[int, Query] = {}  # open queries, by stream
-        self._queued_requests: dict[int, DueCall] = {}  # requests that wait for their turn, by stream
+        self._queued_requests: dict[int, _QueuedRequest] = {}  # requests that are not started, by stream
         # Queries with an order key whose answers the kernel has not taken yet, by stream.
         self._untaken_answers: dict[int, Query] = {}
         self.has_sent_closing = False  # the client was asked to send no new requests on this connection
         self.client = ClientActivity(time.monotonic())
-        self.unusable_frame_count = 0
-        self._throttled_frame_count = 0  # unusable frames for which the next reads were delayed
-        self._is_handling_frames = False  # the buffer may contain complete frames
-        self._reads_late = False  # what is read next may have arrived long before requests of others
         self._writer: gevent.Greenlet | None = None
 
-    def run(self) -> None:
+    def start(self) -> None:
         """Serve the connection until it is closed."""
         try:
             with contextlib.suppress(OSError):  # the connection also works without these options
@@ -111,14 +118,9 @@
                 enable_receive_timestamps(self.sock)
             self.sock.settimeout(SOCKET_TIMEOUT_S)
             self._writer = gevent.spawn(self._write)
-            self._read()
+            self.reader.start()
         except OSError:
-            pass  # the connection is broken, so nothing can be answered
-        except Exception as e:  # a bug in the proxy ends only this connection and its queries
-            log.event("fault", "serving a client connection failed", error=repr(e))
-            self._record_close(CloseReason.FAULT)
-        finally:
-            self.close()
+            self.close()  # the connection is broken, so nothing can be answered
 
     # Closing
 
@@ -166,11 +168,12 @@
 
     def _answer_all(self) -> None:
         """Give every open request its final answer now, and wait no longer for the rest of a frame."""
-        for query in list(self.queries.values()):
-            self.host.gateway.terminate_query(query)
-        if len(self.protocol.buffer) and not self.protocol.broken and not self._has_pending_input:
+        for stream in list(self._queued_requests):
+            self._refuse_queued(stream, "shutdown")
+        self._terminate_queries()
+        if len(self.protocol.buffer) and not self.protocol.broken and not self.reader.has_unhandled_input:
             self.memory.release_frame()
-            self._handle_event(self.protocol.abort(_FRAME_TIMEOUT_TEXT))
+            self.handle_event(self.protocol.abort(_FRAME_TIMEOUT_TEXT))
 
     def close(self) -> None:
         """Close the connection now, and drop its open requests, because no client waits for them."""
@@ -180,12 +183,11 @@
         for stream, query in list(self.queries.items()):
             self._remove_query(stream)
             self.host.gateway.client_left(query)
-        for call in self._queued_requests.values():
-            call.cancel()
-        self._queued_requests.clear()
+        for stream in list(self._queued_requests):
+            self._leave_queue(stream)
         self.protocol.open_streams.clear()
         self.memory.release_all()
-        self.host.arrival_queue.input_is_read(self)
+        self.reader.close()
         self.send_queue.close()
         # The writer's traceback would otherwise reference this connection until a garbage collection.
         writer, self._writer = self._writer, None
@@ -232,6 +234,15 @@
         self.host.gateway.metrics.client_closes.add(reason.value)
         log.event("client", "closing", reason=reason.value, open=len(self.queries))
 
+    @property
+    def peer_address(self) -> str:
+        """Address of the client, for the log; empty if the connection has failed."""
+        try:
+            host, port = self.sock.getpeername()[:2]
+        except OSError:
+            return ""
+        return f"{host}:{port}"
+
     def send_closing(self) -> None:
         """Ask the client to send no new requests on this connection, unless it was asked before."""
         if not self.has_sent_closing:
@@ -263,125 +274,55 @@
             )
         )
 
-    # Reading
-
-    def _read(self) -> None:
-        while not self.closed:
-            self._wait_for_slow_client()
-            if self.receiver.is_behind and self.peer.has_closed:
-                return  # nobody waits for the rest of the input
-            self._check_lateness()
-            try:
-                received = self._receive()
-            except TimeoutError:
-                continue  # the frontend's sweep closes connections that are silent for too long
-            if received.byte_count == 0:
-                return
-            if not self.closing.is_write_shut:  # otherwise the client will see the close, and send it again
-                self._handle_frames(received)
-            if not self.receiver.is_behind:
-                self._reads_late = False
-            if self.is_closing:
-                self.send_queue.wake()  # this may have been the last input that its close waited for
-            self._throttle()
-
-    def _receive(self) -> Received:
-        """Read once, into the buffer of incomplete frames unless the input is to be discarded."""
-        protocol = self.protocol
-        if self.closing.is_write_shut or protocol.broken or protocol.bytes_to_skip:
-            size = protocol.bytes_to_skip or len(self.host.discarded_input)
-            with memoryview(self.host.discarded_input)[:size] as part:
-                received = self.receiver.receive(part)
-            self.client.bytes_read(time.monotonic(), begins_frame=False)
-            protocol.skip(received.byte_count)
-            return received
-        min_bytes = protocol.missing_bytes() if self.memory.has_reserved_frame else MIN_FREE_BYTES
-        with (
-            protocol.buffer.reserve(max(min_bytes, MIN_FREE_BYTES)) as free_space,
-            free_space[: self._read_size(len(free_space))] as part,
-        ):
-            received = self.receiver.receive(part)
-        self.client.bytes_read(time.monotonic(), begins_frame=not len(protocol.buffer))
-        protocol.commit(received.byte_count)
-        return received
-
-    def _handle_frames(self, received: Received) -> None:
-        """Handle the frames that are complete, and let other greenlets run whenever the loop is overdue."""
-        if not self._reads_late:
-            self.host.arrival_queue.input_is_unread(self, received.earliest_at_us)
-        self._is_handling_frames = True
-        while not self.closed and (event := self.protocol.next_event(self._may_buffer)) is not None:
-            self.client.frame_completed()
-            self.memory.release_frame()
-            self._handle_event(event, received)
-            if len(self.protocol.buffer) and self.host.loop_monitor.poll_overdue:
-                self.receiver.pause()
-                yield_to_loop()
-                self._check_lateness()
-        self._is_handling_frames = False
-        if self._reads_late or not self.receiver.is_behind:
-            self.host.arrival_queue.input_is_read(self)
-
-    def _check_lateness(self) -> None:
-        """Let others not wait for the input of this connection, if it has been behind for too long."""
-        if self.receiver.may_hide_close() or self.receiver.has_been_behind_for(MAX_BEHIND_US):
-            self._reads_late = True
-            self.host.arrival_queue.input_is_read(self)
-
-    def _pause_reading(self) -> None:
-        """Note that nothing is read for a while, and that the requests of others do not wait for it."""
-        self.receiver.pause()
-        self.host.arrival_queue.input_is_read(self)
-        self._reads_late = True
-
-    def _read_size(self, free_bytes: int) -> int:
-        """Return how many bytes to read at once, at most.
-
-        With a backlog, one frame is read at once, so that each frame gets its own arrival time. Otherwise all
-        free space in the buffer is used.
-        """
-        return self.protocol.missing_bytes() if self.receiver.has_backlog else free_bytes
+    # Reading, see `connection_reader.InputHandler`
 
-    def _may_buffer(self, size: int) -> bool:
-        return size <= LARGE_FRAME_BYTES or self.memory.reserve_frame(size)
+    @property
+    def discards_input(self) -> bool:
+        """Whether all further input is discarded: the client will see the close, and send it again."""
+        return self.closing.is_write_shut
 
-    def _wait_for_slow_client(self) -> None:
+    @property
+    def discarded_input(self) -> bytearray:
+        """Space for input that nobody looks at."""
+        return self.host.discarded_input
+
+    def before_turn(self) -> None:
         """Stop reading while too many bytes are queued for the client, which bounds the memory used for it.
 
         While nothing is read, cancellations would go unnoticed, and no attempt may be started after the
         client has gone. So its open queries are terminated first.
         """
         if self.send_queue.above_threshold:
-            self._pause_reading()
-            for query in list(self.queries.values()):
-                self.host.gateway.terminate_query(query)
-            self.send_queue.wait_below_threshold()
-
-    def _throttle(self) -> None:
-        """Wait before the next read if this client's input would otherwise delay other clients."""
-        is_unusable = self.unusable_frame_count > self._throttled_frame_count
-        self._throttled_frame_count = self.unusable_frame_count
-        if self.protocol.broken or self.closing.is_write_shut:  # all further input is discarded
-            self._pause_reading()
-            gevent.sleep(DISCARD_INTERVAL_S)
-        elif is_unusable:
-            self._pause_reading()
-            max_delay_s = MAX_DELAY_WITH_OPEN_S if self.protocol.open_streams else MAX_UNUSABLE_FRAME_DELAY_S
-            gevent.sleep(min(self.unusable_frame_count * UNUSABLE_FRAME_DELAY_S, max_delay_s))
-        elif self.host.loop_monitor.poll_overdue and unread_bytes(self.sock):
-            # Without unread bytes, the next read blocks and so lets other greenlets run.
-            self.receiver.pause()
-            yield_to_loop()
+            self.reader.pause(PauseReason.UNREAD_ANSWERS)
+            self._terminate_queries()
+
+    def input_read(self) -> None:
+        """Let the connection close, if this was the last input that its close waited for."""
+        if self.is_closing:
+            self.send_queue.wake()
+
+    def input_is_late(self) -> None:
+        """Refuse the requests that wait in the order of a key: others do not wait for them any longer."""
+        self.host.gateway.metrics.late_inputs.add("unread")
+        log.event(
+            "share", "client sends faster than it is read", client=self.peer_address, open=len(self.queries)
+        )
+        for stream, queued in list(self._queued_requests.items()):
+            if queued.request.order_key is not None:
+                self._refuse_queued(stream, "read late")
+
+    def input_ended(self) -> None:
+        """Close the connection, because the client has closed it or it has failed."""
+        self.close()
+
+    def _terminate_queries(self) -> None:
+        for query in list(self.queries.values()):
+            self.host.gateway.terminate_query(query)
 
     @property
     def _is_within_frame(self) -> bool:
         return len(self.protocol.buffer) > 0 or self.protocol.bytes_to_skip > 0
 
-    @property
-    def _has_pending_input(self) -> bool:
-        """Whether bytes are unread, or complete frames may wait in the buffer."""
-        return self._is_handling_frames or unread_bytes(self.sock) > 0
-
     @property
     def _is_in_use(self) -> bool:
         """Whether a request is open, or an answer is being written."""
@@ -393,7 +334,7 @@
         A client may be silent for long between requests, but not before its first frame or within a frame.
         `now_s` is in monotonic seconds.
         """
-        if self.protocol.broken or self.closing.is_write_shut or self._has_pending_input:
+        if self.protocol.broken or self.closing.is_write_shut or self.reader.has_unhandled_input:
             return  # with pending input, this process is late to read, not the client to send
         if self.client.has_timed_out_in_frame(now_s, self._is_within_frame):
             self._give_up_frame(now_s)
@@ -410,10 +351,10 @@
         self.memory.release_frame()
         event = None if self.protocol.bytes_to_skip else self.protocol.skip_frame(_FRAME_TIMEOUT_TEXT)
         if event is not None:
-            self._handle_event(event)
+            self.handle_event(event)
         elif not self.protocol.open_streams:
             self._record_close(CloseReason.FRAME_TIMEOUT)
-            self._handle_event(self.protocol.abort(_FRAME_TIMEOUT_TEXT))
+            self.handle_event(self.protocol.abort(_FRAME_TIMEOUT_TEXT))
 
     def eviction_rank(self, now_s: float) -> EvictionRank | None:
         """Return the connection's rank when connections are closed at the connection limit.
@@ -423,13 +364,14 @@
         """
         if self.closing.is_write_shut or (self.is_closing and not self.protocol.open_streams):
             return EvictionRank.CLOSING
-        if self._is_in_use or self._has_pending_input:
+        if self._is_in_use or self.reader.has_unhandled_input:
             return None
         return self.client.eviction_rank(now_s, self._is_within_frame)
 
     # Requests and answers
 
-    def _handle_event(self, event: frames.FrameEvent, received: Received | None = None) -> None:
+    def handle_event(self, event: frames.FrameEvent, received: Received | None = None) -> None:
+        """Handle a frame; `received` tells when a request arrived."""
         match event:
             case frames.Request():
                 assert received is not None
@@ -446,11 +388,11 @@
                 self.send_queue.put(frames.format_ready(event.stream, code))
             case frames.BadRequest():
                 self.client.request_received(time.monotonic())
-                self.unusable_frame_count += 1
+                self.reader.unusable_frame_count += 1
                 log.event("client", "request not accepted", reason=event.reason)
                 self._answer(event.stream, self.host.reject("crowded"))
             case frames.DuplicateStream():
-                self.unusable_frame_count += 1
+                self.reader.unusable_frame_count += 1
                 log.event("client", "request on a stream that was used before", stream=event.stream)
                 self.send_queue.put(_format_error(0, f"stream {event.stream} was used before"))
             case frames.ProtocolViolation():
@@ -465,21 +407,45 @@
         if not self.memory.hold_request(event.stream, size):
             self._answer(event.stream, self.host.reject("crowded"))
             return
-        reads_late = self._reads_late
-        self._queued_requests[event.stream] = self.host.arrival_queue.add(
+        gateway, now_us = self.host.gateway, self.host.gateway.clock.now_us()
+        gateway.metrics.unread_time.observe((now_us - received.arrived_at_us) / US_PER_S)
+        head = frames.peek_request(event.payload)
+        if head.allowed_us and received.earliest_at_us + head.allowed_us <= now_us:
+            self._answer(event.stream, self.host.reject("overdue"))
+            return
+        allowed_us = MAX_QUEUED_US if head.allowed_us is None else min(head.allowed_us, MAX_QUEUED_US)
+        reads_late = self.reader.reads_late
+        request = self.host.scheduler.requests.add(
+            self.reader,
             received.arrived_at_us,
-            lambda is_overdue: self._start_request(event, received.earliest_at_us, is_overdue, reads_late),
+            head.order_key,
+            lambda: self._start_request(event, received.earliest_at_us, reads_late),
         )
-
-    def _start_request(
-        self, event: frames.Request, received_at_us: int, is_overdue: bool, was_read_late: bool
-    ) -> None:
-        self._queued_requests.pop(event.stream, None)
+        watchdog = gateway.watch(
+            received.earliest_at_us, allowed_us, lambda: self._refuse_queued(event.stream, "overdue")
+        )
+        self._queued_requests[event.stream] = _QueuedRequest(request, watchdog, now_us)
+
+    def _refuse_queued(self, stream: int, reason: str) -> None:
+        """Refuse a request that has not been started, if it still waits."""
+        if self._leave_queue(stream):
+            self._answer(stream, self.host.reject(reason))
+
+    def _leave_queue(self, stream: int) -> bool:
+        """Take a request out of the queue, and return whether it was there."""
+        queued = self._queued_requests.pop(stream, None)
+        if queued is None:
+            return False
+        queued.request.cancel()
+        queued.watchdog.cancel()
+        waited_us = self.host.gateway.clock.now_us() - queued.queued_at_us
+        self.host.gateway.metrics.queued_time.observe(waited_us / US_PER_S)
+        return True
+
+    def _start_request(self, event: frames.Request, received_at_us: int, was_read_late: bool) -> None:
+        self._leave_queue(event.stream)
         try:
-            if is_overdue:
-                self._answer(event.stream, self.host.reject("crowded"))
-            else:
-                self._submit(event, received_at_us, was_read_late)
+            self._submit(event, received_at_us, was_read_late)
         except Exception as e:  # a bug in the proxy fails only this request, which still gets its answer
             log.event("fault", "handling a request failed", error=repr(e))
             self._answer(event.stream, Failed())
@@ -489,24 +455,24 @@
 
         Reads alone would tell too late: the close comes after all bytes that the client sent before it.
         """
-        if self.closed:
-            return
-        if self.peer.has_closed:
+        if not self._close_if_client_left() and self.reader.may_hide_cancellation:
+            self._terminate_queries()
+
+    def _close_if_client_left(self) -> bool:
+        """Close the connection if its client has, and return whether it is closed."""
+        if not self.closed and self.reader.peer.has_closed:
             self._record_close(CloseReason.CLIENT_CLOSED)
             self.close()
-        elif self.receiver.may_hide_close():
-            for query in list(self.queries.values()):
-                self.host.gateway.terminate_query(query)
+        return self.closed
 
     def _submit(self, event: frames.Request, received_at_us: int, was_read_late: bool) -> None:
         host = self.host
         if event.stream not in self.protocol.open_streams:  # cancelled, or the client has gone
             return
-        self.check_client()
-        if self.closed:
+        if self._close_if_client_left():
             return
         reason = host.rejection_reason()
-        if self.send_queue.full or self.receiver.may_hide_close():
+        if self.send_queue.full or self.reader.may_hide_cancellation:
             reason = reason or "client reads or writes too fast"
         if reason:
             self._answer(event.stream, host.reject(reason))
@@ -537,11 +503,11 @@
 
     def _is_overtaken(self, received_at_us: int) -> bool:
         """Return whether a request that arrived later, and may have the same key, was handled before."""
-        return self.host.arrival_queue.handled_until_us > received_at_us
+        return self.host.scheduler.requests.started_until_us > received_at_us
 
     def _answer_bad_request(self, stream: int, reason: str) -> None:
         log.event("client", "bad request", reason=reason)
-        self.unusable_frame_count += 1
+        self.reader.unusable_frame_count += 1
         self._close_stream(stream)
         self.send_queue.put(_format_error(stream, reason))
         self._close_if_answered()
@@ -567,12 +533,18 @@
         self.send_queue.put(frame, on_taken=self._on_answer_taken(stream, query))
         self._close_if_answered()
 
-    def _on_answer_taken(self, stream: int, query: Query | None) -> Callable[[], None] | None:
-        """Return the call for when the kernel has taken the answer; None if nothing depends on it."""
-        if query is None or not query.awaits_delivery:
-            return None
-        self._untaken_answers[stream] = query
-        return lambda: self._answer_taken(stream)
+    def _on_answer_taken(self, stream: int, query: Query | None) -> Callable[[], None]:
+        """Return the call for when the kernel has taken the answer."""
+        gateway, answered_at_us = self.host.gateway, self.host.gateway.clock.now_us()
+        if query is not None and query.awaits_delivery:
+            self._untaken_answers[stream] = query
+
+        def on_taken() -> None:
+            waited_us = gateway.clock.now_us() - answered_at_us
+            gateway.metrics.answer_queued_time.observe(waited_us / US_PER_S)
+            self._answer_taken(stream)
+
+        return on_taken
 
     def _answer_taken(self, stream: int) -> None:
         query = self._untaken_answers.pop(stream, None)
@@ -586,8 +558,7 @@
         return query
 
     def _close_stream(self, stream: int) -> None:
-        if (call := self._queued_requests.pop(stream, None)) is not None:
-            call.cancel()
+        self._leave_queue(stream)
         self.protocol.close_stream(stream)
         self.memory.release_request(stream)
 
--- a/hollowhitch/net/frontend.py
+++ b/hollowhitch/net/frontend.py
@@ -3,7 +3,6 @@
 from __future__ import annotations
 
 import time
-from collections.abc import Callable
 
 import gevent
 from gevent import socket
@@ -15,10 +14,10 @@
 from hollowhitch.config import Config
 from hollowhitch.gateway import Gateway, Refused
 from hollowhitch.lifecycle import ConnectionStage, Lifecycle, State
-from hollowhitch.net.arrival_queue import ArrivalQueue
 from hollowhitch.net.client_activity import EvictionRank
 from hollowhitch.net.client_connection import DISCARD_READ_BYTES, ClientConnection
 from hollowhitch.net.connection_closing import CloseReason
+from hollowhitch.net.input_scheduler import InputScheduler
 from hollowhitch.net.listener import Listener
 from hollowhitch.net.loop_monitor import LoopMonitor
 from hollowhitch.net.memory_budget import MemoryBudget
@@ -40,7 +39,7 @@
     ) -> None:
         self.config, self.gateway, self.loop_monitor = config, gateway, loop_monitor
         self.lifecycle, self.audit = lifecycle, audit
-        self.arrival_queue = ArrivalQueue(gateway.clock, loop_monitor)
+        self.scheduler = InputScheduler(gateway.clock, loop_monitor, gateway.metrics)
         self.request_validator = frames.RequestValidator(config.settings)
         self.refs = QueryRefs(_ref_retention_s(config), config.recent_refs_most)
         self.connections: set[ClientConnection] = set()
@@ -54,6 +53,7 @@
     def start(self) -> None:
         """Listen, and start the greenlets that close connections. Raise OSError as `Listener.start` does."""
         self._listener.start()
+        self.scheduler.start()
         gevent.spawn(self._sweep_forever)
         gevent.spawn(self._enforce_forever)
 
@@ -62,17 +62,17 @@
         """Host and port; after `start`, those that are bound."""
         return self._listener.address
 
-    def _admit(self, sock: socket.socket, pending_since_us: int | None) -> Callable[[], None] | None:
+    def _admit(self, sock: socket.socket, pending_since_us: int | None) -> None:
         if not self._make_room():
             self.gateway.metrics.client_closes.add(CloseReason.CONNECTION_LIMIT.value)
             sock.close()
-            return None
+            return
         connection = ClientConnection(self, sock, pending_since_us)
         self.connections.add(connection)
         self._all_closed.clear()
         if self.lifecycle.asks_clients_to_leave:
             connection.send_closing()
-        return connection.run
+        connection.start()
 
     def connection_closed(self, connection: ClientConnection) -> None:
         """Forget a connection that is closed."""
--- a/hollowhitch/net/listener.py
+++ b/hollowhitch/net/listener.py
@@ -24,12 +24,12 @@
 
 
 class Listener:
-    """A listening socket that calls `admit` for each connection, and runs what it returns in a new greenlet.
+    """A listening socket that calls `admit` for each connection.
 
     `admit` receives the socket, and the earliest time from which the connection may have waited to be
     accepted (microseconds on the proxy's clock), or None if it was accepted as soon as it arrived. It must
-    not block. If it returns None, it has closed the socket. `address` is the bound address once `start` has
-    returned.
+    not block. What it returns, unless that is None, is run in a new greenlet. `address` is the bound address
+    once `start` has returned.
     """
 
     def __init__(
--- a/hollowhitch/net/loop_monitor.py
+++ b/hollowhitch/net/loop_monitor.py
@@ -14,7 +14,6 @@
 # measured offset stays in use.
 MAX_OFFSET_DRIFT_US = 500
 STALE_POLL_US = 50_000  # microseconds since the last poll after which a send waits for another poll
-POLL_OVERDUE_US = 5_000  # microseconds since the last poll after which a running greenlet yields to the loop
 CATCH_UP_ITERATIONS = 2  # loop iterations after which the loop has polled and the readers have run
 # Delay of an update, in microseconds, above which the loop counts as stalled and the stall is logged.
 MAX_UPDATE_DELAY_US = 40_000
@@ -53,16 +52,16 @@
         return self._clock.now_us() - self.loop_ran_at_us > 2 * PERIOD_US + MAX_UPDATE_DELAY_US
 
     @property
-    def poll_overdue(self) -> bool:
-        """Whether running greenlets have kept the loop from polling for more than POLL_OVERDUE_US."""
-        return self._clock.now_us() - self.polled_at_us > POLL_OVERDUE_US
+    def poll_is_stale(self) -> bool:
+        """Whether the last poll is so old that much may have arrived since then."""
+        return self._clock.now_us() - self.polled_at_us > STALE_POLL_US
 
     def catch_up(self) -> None:
-        """Wait until all bytes received so far are read, if the last poll is older than STALE_POLL_US.
+        """Wait until all bytes received so far are read, if the last poll is stale.
 
         Otherwise a request could be sent to an engine while its client's cancellation is still unread.
         """
-        if self._clock.now_us() - self.polled_at_us > STALE_POLL_US:
+        if self.poll_is_stale:
             for _ in range(CATCH_UP_ITERATIONS):
                 yield_to_loop()
 
--- a/hollowhitch/net/receive_times.py
+++ b/hollowhitch/net/receive_times.py
@@ -10,6 +10,7 @@
 
 from __future__ import annotations
 
+import socket as native_socket
 import struct
 from dataclasses import dataclass
 
@@ -17,16 +18,10 @@
 
 from hollowhitch.clock import MIN_STEP_US, Clock, wall_time_us
 from hollowhitch.net.loop_monitor import LoopMonitor
-from hollowhitch.net.system_call_errors import SystemCall, retry_transient
 from hollowhitch.net.unread import unread_bytes
 
 SO_TIMESTAMPNS = 35  # Linux socket option that the socket module does not define
 TIMESPEC = struct.Struct("qq")  # seconds and nanoseconds of Unix time
-# Bytes that a peer can always send before this process has to read.
-RECEIVE_WINDOW_BYTES = 32_768
-# Microseconds for which a close may be hidden behind unread bytes: half of the time within which an attempt
-# may still begin after its client has gone.
-MAX_HIDDEN_CLOSE_US = 50_000
 TCP_INFO_BYTES = 104  # bytes of struct tcp_info that are read
 # Field tcpi_last_data_recv of struct tcp_info: milliseconds since the last data arrived, on the kernel's
 # monotonic clock.
@@ -71,7 +66,7 @@
 
 
 class Receiver:
-    """Reader of a client's socket, which also determines when the bytes arrived.
+    """Reader of a client's socket, which also determines when the bytes arrived. It does not block.
 
     `pending_since_us` is the earliest time from which the connection may have waited to be accepted, or None
     if it was accepted as soon as it arrived.
@@ -84,81 +79,75 @@
         loop_monitor: LoopMonitor,
         pending_since_us: int | None = None,
     ) -> None:
-        self._sock, self._clock, self._loop_monitor = sock, clock, loop_monitor
+        # Another object for the same descriptor: reads of a gevent socket would block the greenlet.
+        self._sock = native_socket.socket(sock.family, sock.type, sock.proto, fileno=sock.fileno())
+        self._sock.setblocking(False)
+        self._clock, self._loop_monitor = clock, loop_monitor
         # While reading is paused: when the pause began, and the wall clock's offset then.
         self._paused_since: tuple[int, int] | None = None
         # Time before which no unread byte can have arrived, and the wall clock's offset then; None: all bytes
         # were read, so that those that are unread now arrived after the event loop ran last.
         self._unread_start: tuple[int, int] | None = None
-        # Since when bytes were unread after each read, 0: all were read; and how many were read since.
-        self._behind_since_us = self._bytes_read_behind = 0
+        self._is_after_stall = False  # the first bytes since a stall or a pause are being read
+        self.is_behind = False  # bytes were still unread after the last read
         if pending_since_us is not None:
             self._paused_since = (
                 min(pending_since_us, loop_monitor.loop_ran_at_us),
                 loop_monitor.clock_offset_us,
             )
 
+    def close(self) -> None:
+        """Release the descriptor, which its owner closes."""
+        self._sock.detach()
+
     def pause(self) -> None:
         """Note that nothing is read until the next `receive`, although bytes may arrive in the meantime."""
         if self._paused_since is None:
             self._paused_since = (self._clock.now_us(), self._clock.wall_offset_us())
 
+    def earliest_unread_us(self) -> int:
+        """Return a time before which none of the bytes that are unread now can have arrived."""
+        return self._start()[0]
+
     @property
     def has_backlog(self) -> bool:
-        """Whether several requests may be unread, the first of which arrived long before the last.
+        """Whether requests may be unread since a stall or a pause, the first of them long before the last.
 
         Each of them has to be read separately, because one read reports only one arrival time.
         """
         if self._unread_start is None and (self._paused_since is not None or self._loop_monitor.stalled):
-            self._unread_start = self._paused_since or self._last_loop_run()
-        return self._unread_start is not None
+            self._unread_start = self._start()
+            self._is_after_stall = True
+        return self._is_after_stall
 
     def receive(self, buffer: memoryview) -> Received:
         """Read once into `buffer`, and return how much was read and when it arrived.
 
-        Block until a byte can be read or the client closes. Raise TimeoutError after the socket's timeout, or
-        another OSError if the read fails.
+        Raise BlockingIOError if nothing is unread, or another OSError if the read fails.
         """
-        count, ancillary, _, _ = retry_transient(SystemCall.RECEIVE, self._sock.recvmsg_into, [buffer], 64)
+        try:
+            count, ancillary, _, _ = self._sock.recvmsg_into([buffer], 64)
+        except BlockingIOError:
+            self._everything_is_read()
+            raise
         now_us = self._clock.now_us()
         had_backlog = self._unread_start is not None
-        start = self._unread_start or self._paused_since or self._last_loop_run()
+        start = self._start()
         arrived_at_us = self._arrival_time_us(ancillary, now_us, *start, had_backlog)
-        self._paused_since = None
-        if count < len(buffer) or not unread_bytes(self._sock):
-            self._unread_start, self._behind_since_us = None, 0
+        if count < len(buffer) or not self.is_behind and not unread_bytes(self._sock):
+            self._everything_is_read()
             return Received(count, arrived_at_us, arrived_at_us)
-        if not self._behind_since_us:
-            self._behind_since_us, self._bytes_read_behind = now_us, 0
-        self._bytes_read_behind += count
-        self._unread_start = start
+        self._paused_since, self._unread_start, self.is_behind = None, start, True
         # The kernel merges waiting segments and keeps only the newest timestamp, so these bytes may have
         # arrived long before that.
         return Received(count, arrived_at_us, start[0])
 
-    @property
-    def is_behind(self) -> bool:
-        """Whether bytes were still unread after the last read."""
-        return self._behind_since_us > 0
-
-    def has_been_behind_for(self, duration_us: int) -> bool:
-        """Return whether bytes were unread after each read for that time or longer."""
-        return self.is_behind and self._clock.now_us() - self._behind_since_us >= duration_us
-
-    def may_hide_close(self) -> bool:
-        """Return whether the peer may have closed the connection long ago without the kernel's knowledge.
+    def _everything_is_read(self) -> None:
+        self._paused_since = self._unread_start = None
+        self._is_after_stall = self.is_behind = False
 
-        That is so if bytes have been unread for a while, and so many that the peer may have had to wait for
-        space in the receive buffer: what it sent and its close are still on its side then.
-        """
-        since_us = self._behind_since_us
-        if self._paused_since is not None:
-            since_us = min(since_us or self._paused_since[0], self._paused_since[0])
-        if not since_us or self._clock.now_us() - since_us < MAX_HIDDEN_CLOSE_US:
-            return False
-        unread_count = unread_bytes(self._sock)
-        read_count = self._bytes_read_behind if self._behind_since_us else 0
-        return unread_count > 0 and unread_count + read_count >= RECEIVE_WINDOW_BYTES
+    def _start(self) -> tuple[int, int]:
+        return self._unread_start or self._paused_since or self._last_loop_run()
 
     def _last_loop_run(self) -> tuple[int, int]:
         return self._loop_monitor.loop_ran_at_us, self._loop_monitor.clock_offset_us
--- a/hollowhitch/net/send_queue.py
+++ b/hollowhitch/net/send_queue.py
@@ -19,13 +19,18 @@
 MIN_PAUSE_BYTES = 16_384  # bytes up to which a queue is never above its threshold, whatever others hold
 
 
+def _do_nothing() -> None:
+    pass
+
+
 class SendQueue:
     """Bytes that wait to be written to a socket.
 
     Items are accepted even above `max_bytes` and `pause_threshold` (by default the same); the owner has to
     check `full` and `above_threshold`. `before_write` is called before each write and may block. Items given
     as callables are evaluated after that. If there is a `budget`, the queue's size counts as held there, and
-    a queue is above its threshold earlier while the budget is exhausted.
+    a queue is above its threshold earlier while the budget is exhausted. `on_below_threshold` is called after
+    each write after which the queue is not above its threshold.
     """
 
     def __init__(
@@ -35,16 +40,17 @@
         pause_threshold: int | None = None,
         before_write: Callable[[], None] | None = None,
         budget: MemoryBudget | None = None,
+        on_below_threshold: Callable[[], None] | None = None,
     ) -> None:
         self.size = 0  # bytes waiting or being written, with ITEM_BYTES for each item
         self.closed = False
         self._sock, self._max_bytes, self._pause_threshold = sock, max_bytes, pause_threshold or max_bytes
         self._before_write, self._budget = before_write, budget
+        self._on_below_threshold = on_below_threshold or _do_nothing
         self._items: deque[tuple[Item, int, OnTaken | None]] = deque()
         # For the chunk being written: calls to make once the kernel has taken so many of its bytes.
         self._taken_calls: deque[tuple[int, OnTaken]] = deque()
-        self._wake, self._below_threshold = Event(), Event()
-        self._below_threshold.set()
+        self._wake = Event()
         self.idle = True  # nothing is waiting and nothing is being written
 
     @property
@@ -72,8 +78,6 @@
         self._items.append((item, size, on_taken))
         self._change_size(size)
         self.idle = False
-        if self.above_threshold:
-            self._below_threshold.clear()
         self._wake.set()
 
     def _change_size(self, change: int) -> None:
@@ -81,13 +85,6 @@
         if self._budget is not None:
             self._budget.hold(change)
 
-    def wait_below_threshold(self) -> None:
-        """Block while the queue is above its pause threshold.
-
-        This bounds the memory used for a peer that sends requests but does not read the answers.
-        """
-        self._below_threshold.wait()
-
     def wake(self) -> None:
         """Let `run` ask again whether it may finish."""
         self._wake.set()
@@ -100,7 +97,7 @@
         self._taken_calls.clear()
         self._items.clear()
         self._change_size(-self.size)
-        self._below_threshold.set()
+        self._on_below_threshold = _do_nothing  # its owner would otherwise wait for a garbage collection
         self._wake.set()
         for on_taken in dropped_calls:
             on_taken()
@@ -137,8 +134,8 @@
             self._send(chunk)
             if not self.closed:
                 self._change_size(-size)
-            if not self.above_threshold:
-                self._below_threshold.set()
+            if not self.closed and not self.above_threshold:
+                self._on_below_threshold()
 
     def _send(self, chunk: bytes | bytearray) -> None:
         """Write the whole chunk, in as many pieces as the kernel requires."""
--- a/hollowhitch/protocol/frames.py
+++ b/hollowhitch/protocol/frames.py
@@ -39,6 +39,7 @@
 REQUEST_FIELDS = frozenset(
     {"service", "ref", "allow", "project", "dup", "replay", "effort", "need_mb", "lookup"}
 )
+HEAD_FIELDS = frozenset({b"allow", b"lookup"})  # names of those that `peek_request` reads
 
 HEADER = struct.Struct(">IBI")  # length, type, stream
 
@@ -222,6 +223,39 @@
     return ParsedQuery(ref, arrival, idempotency_key, statement)
 
 
+@dataclass(frozen=True, slots=True)
+class RequestHead:
+    """What has to be known of a request before it is parsed."""
+
+    allowed_us: int | None  # how long its client waits for the answer; None: the field is missing or unusable
+    order_key: bytes | None  # requests with the same key run in order; None: it has no key
+
+
+def peek_request(payload: bytes) -> RequestHead:
+    """Return the head of the request with this payload, which `parse_query` may still find malformed."""
+    values: dict[bytes, bytes] = {}
+    offset = 1
+    for _ in range(payload[0] if payload else 0):
+        size_at = offset + 1 + payload[offset] if offset < len(payload) else len(payload)
+        value_at = size_at + 2
+        if value_at > len(payload):
+            break
+        end = value_at + int.from_bytes(payload[size_at:value_at], "big")
+        name = payload[offset + 1 : size_at]
+        if name in HEAD_FIELDS:
+            values[name] = payload[value_at:end]
+        offset = end
+    return RequestHead(_parse_allowed_us(values.get(b"allow", b"")), values.get(b"lookup") or None)
+
+
+def _parse_allowed_us(text: bytes) -> int | None:
+    try:
+        allowed_ms = float(text)
+    except ValueError:
+        return None
+    return int(allowed_ms * 1000) if 0 <= allowed_ms < math.inf else None
+
+
 def format_fields(fields: dict[str, str]) -> bytes:
     """Return the encoding of fields that `parse_fields` reads."""
     parts = [bytes([len(fields)])]
--- a/tests/test_proxy.py
+++ b/tests/test_proxy.py
@@ -25,10 +25,8 @@
 from hollowhitch import config as configuration
 from hollowhitch import log
 from hollowhitch.metrics import Metrics
-from hollowhitch.net import client_activity, client_connection, engine_pools, frontend
-from hollowhitch.net.arrival_queue import ArrivalQueue
+from hollowhitch.net import client_activity, engine_pools, frontend, input_scheduler
 from hollowhitch.net.dial import dial
-from hollowhitch.net.loop_monitor import LoopMonitor
 from hollowhitch.net.receive_times import Receiver
 from hollowhitch.net.timers import Timers
 from hollowhitch.protocol import frames
@@ -250,19 +248,6 @@
     assert client.read_answer() == (1, frames.FAILED, b"service 'nonesuch' is unknown")
 
 
-# Guards against a crowd of requests, read at once, that keeps all others waiting while they are handled.
-def test_other_greenlets_run_while_many_requests_are_handled(start_proxy, monkeypatch):
-    monkeypatch.setattr(LoopMonitor, "poll_overdue", True)
-    proxy, _ = start_proxy(answer_nothing)
-    queue, handled, seen = ArrivalQueue(proxy.clock, proxy.loop_monitor), [], []
-    for number in (2, 0, 1):
-        queue.add(number, lambda is_overdue, n=number: handled.append(n))
-    while len(handled) < 3:
-        seen.append(list(handled))
-        gevent.sleep(0)
-    assert handled == [0, 1, 2] and [0] in seen and [0, 1] in seen
-
-
 def test_a_late_answer_to_an_old_attempt_is_not_taken_for_that_of_a_new_one(start_proxy):
     """A ref is sent to the same engine again only on another connection.
 
@@ -394,7 +379,6 @@
 
 def test_a_reader_that_has_read_everything_has_no_backlog(start_proxy, monkeypatch):
     """Otherwise each connection that is read late in a loop iteration reads its next frame in two pieces."""
-    monkeypatch.setattr(LoopMonitor, "poll_overdue", property(lambda self: True))
     proxy, _ = start_proxy(answer_rows)
     client, read_sizes = Client(proxy), record_read_sizes(monkeypatch)
     for stream in range(1, 6):
@@ -609,8 +593,9 @@
 def test_frames_that_this_process_is_late_to_handle_are_not_given_up(start_proxy, monkeypatch):
     monkeypatch.setattr(client_activity, "FRAME_TIMEOUT_S", 0.05)
     monkeypatch.setattr(frontend, "SWEEP_INTERVAL_S", 0.01)
-    monkeypatch.setattr(LoopMonitor, "poll_overdue", True)
-    monkeypatch.setattr(client_connection, "yield_to_loop", lambda: gevent.sleep(0.01))
+    monkeypatch.setattr(input_scheduler, "QUANTUM_US", 1)
+    monkeypatch.setattr(input_scheduler, "READ_SHARE_US", 1)
+    monkeypatch.setattr(input_scheduler, "yield_to_loop", lambda: gevent.sleep(0.01))
     proxy, _ = start_proxy(answer_rows)
     client = Client(proxy)
     cancellations = b"".join(frames.format_frame(frames.CANCEL, stream) for stream in range(2, 32))
