Do not turn a refusal into a failure while memory is exhausted

What callers saw: a refusal, after which a request may be sent again without harm, was told as a failure, after which it may have run. Cause: the rule that a client which reads nothing gets no more results was applied to all answers. Change: it applies to results.

--- a/hollowhitch/net/client_connection.py
+++ b/hollowhitch/net/client_connection.py
@@ -519,7 +519,7 @@
             return
         self._close_stream(stream)
         self.client.answered(time.monotonic())
-        if self.send_queue.full and self.host.memory.is_exhausted:
+        if isinstance(answer, Served) and self.send_queue.full and self.host.memory.is_exhausted:
             answer = Failed()  # a client that does not read its results cannot have more of them
         match answer:
             case Served():
--- a/tests/test_proxy.py
+++ b/tests/test_proxy.py
@@ -27,7 +27,9 @@
 from hollowhitch.metrics import Metrics
 from hollowhitch.net import client_activity, engine_pools, frontend, input_scheduler
 from hollowhitch.net.dial import dial
+from hollowhitch.net.memory_budget import MemoryBudget
 from hollowhitch.net.receive_times import Receiver
+from hollowhitch.net.send_queue import SendQueue
 from hollowhitch.net.timers import Timers
 from hollowhitch.protocol import frames
 from hollowhitch.protocol.channel import parse_command
@@ -670,6 +672,16 @@
     assert proxy.frontend.memory.held_bytes == 0
 
 
+# Guards against a refusal, after which a client may send again, that becomes a failure for lack of memory.
+def test_a_refusal_stays_a_refusal_while_memory_is_exhausted(start_proxy, monkeypatch):
+    proxy, _ = start_proxy(answer_rows)
+    client = Client(proxy)
+    monkeypatch.setattr(SendQueue, "full", True)
+    monkeypatch.setattr(MemoryBudget, "is_exhausted", True)
+    client.send_request(1)
+    assert client.read_answer()[:2] == (1, frames.REFUSED)
+
+
 def test_an_attempt_cancelled_while_its_connection_closes_may_have_run(start_proxy):
     """The controller may cancel an attempt after its connection broke, but before it is told of that.
 
