--- a/hollowhitch/net/query_refs.py
+++ b/hollowhitch/net/query_refs.py
@@ -25,11 +25,6 @@
     def __contains__(self, ref: str) -> bool:
         return ref in self._open or (number := int(ref, 16)) in self._recent or number in self._previous
 
-    @property
-    def open_count(self) -> int:
-        """Number of open queries."""
-        return len(self._open)
-
     def opened(self, ref: str) -> None:
         """Note that a query was accepted. `ref` consists of hexadecimal digits."""
         self._open.add(ref)
--- a/hollowhitch/policy/control.py
+++ b/hollowhitch/policy/control.py
@@ -27,10 +27,10 @@
     STALL_US,
     THREADS_PER_CORE,
 )
-from hollowhitch.policy.containers import RecentAnswers
 from hollowhitch.policy.feedback import Feedback
 from hollowhitch.policy.holding import Holding
 from hollowhitch.policy.interface import EndReason, Outcome
+from hollowhitch.policy.recent_answers import RecentAnswers
 from hollowhitch.policy.records import Attempt, ClassRecord, EngineRecord, Query
 
 
--- a/tests/conftest.py
+++ b/tests/conftest.py
@@ -15,9 +15,9 @@
 from faults.known_failures import KnownFailure, read_known_failures
 from hollowhitch import Controller
 from hollowhitch.policy import interface as api
-from tests.fault_fixtures import NO_COMPILER_REASON, fault_library, make_harness
+from tests.fault_fixtures import NO_COMPILER_REASON, fault_library, make_harness, new_harness
 
-__all__ = ["fault_library", "make_harness"]  # fixtures
+__all__ = ["fault_library", "make_harness", "new_harness"]  # fixtures
 
 hypothesis_settings.register_profile("ci", derandomize=True, deadline=None, max_examples=60)
 hypothesis_settings.load_profile("ci")
--- a/tests/fault_fixtures.py
+++ b/tests/fault_fixtures.py
@@ -4,6 +4,7 @@
 
 from collections.abc import Callable, Iterator
 from pathlib import Path
+from typing import Any
 
 import pytest
 
@@ -13,7 +14,7 @@
 from faults.records import AnswerCode
 from faults.settings import make_settings
 
-MakeHarness = Callable[..., Harness]
+MakeHarness = NewHarness = Callable[..., Harness]
 NO_COMPILER_REASON = "no C compiler for the preloaded fault library"
 
 
@@ -26,23 +27,34 @@
 
 
 @pytest.fixture
-def make_harness(tmp_path: Path, fault_library: Path) -> Iterator[MakeHarness]:
-    """Provide a function that starts harnesses, which are closed at the end of the test."""
+def new_harness(tmp_path: Path) -> Iterator[NewHarness]:
+    """Provide a function that returns harnesses, not started, which are closed at the end of the test."""
     harnesses: list[Harness] = []
 
-    def start_harness(engines: int = 2, proxies: int = 1, **settings: float) -> Harness:
-        harness = Harness(
-            tmp_path, fault_library, make_settings(proxies=proxies, **settings), 1, engines, proxies
-        )
+    def create(
+        settings: dict[str, Any], engines: int, proxies: int = 1, fault_library: Path | None = None
+    ) -> Harness:
+        harness = Harness(tmp_path, fault_library, settings, 1, engines, proxies)
         harnesses.append(harness)
-        harness.start()
         return harness
 
-    yield start_harness
+    yield create
     for harness in harnesses:
         harness.close()
 
 
+@pytest.fixture
+def make_harness(new_harness: NewHarness, fault_library: Path) -> MakeHarness:
+    """Provide a function that starts harnesses whose proxies have the fault library."""
+
+    def start_harness(engines: int = 2, proxies: int = 1, **settings: float) -> Harness:
+        harness = new_harness(make_settings(proxies=proxies, **settings), engines, proxies, fault_library)
+        harness.start()
+        return harness
+
+    return start_harness
+
+
 def violations(harness: Harness, *rules: str) -> list[str]:
     """Return the violations of the given rules, or of all rules, as texts."""
     found = Checker(harness.run, harness.settings).check()
--- a/tests/test_client_misuse.py
+++ b/tests/test_client_misuse.py
@@ -2,11 +2,10 @@
 
 from __future__ import annotations
 
-import re
 import secrets
 import sys
 import time
-from collections.abc import Callable, Iterator
+from collections.abc import Callable
 from dataclasses import dataclass, field
 from pathlib import Path
 
@@ -15,11 +14,13 @@
 from gevent import socket, subprocess
 
 from faults import wire
+from faults.flood_trial import peak_memory_mb
 from faults.harness import Harness
 from faults.misuse import request
 from faults.proxies import REPOSITORY_ROOT
 from faults.records import AnswerCode, RequestRecord
 from faults.settings import make_settings
+from tests.fault_fixtures import NewHarness
 
 # The lowest and the highest limits of memory (MB) and descriptors of a scored day.
 LOWEST, HIGHEST = (32, 256), (192, 1024)
@@ -33,20 +34,16 @@
 
 
 @pytest.fixture
-def start(tmp_path: Path) -> Iterator[StartHarness]:
+def start(new_harness: NewHarness) -> StartHarness:
     """Provide a function that starts one proxy with given limits, and stub engines."""
-    harnesses = []
 
     def start_harness(memory_mb: int = 192, sockets: int = 1024, engines: int = 3) -> Harness:
-        harness = Harness(tmp_path, None, make_settings(repeat_window_s=3.0), 1, engines, 1)
-        harnesses.append(harness)
+        harness = new_harness(make_settings(repeat_window_s=3.0), engines)
         harness.configure_all(limits={"cores": 1.0, "memory_mb": memory_mb, "sockets": sockets})
         harness.start()
         return harness
 
-    yield start_harness
-    for harness in harnesses:
-        harness.close()
+    return start_harness
 
 
 @dataclass
@@ -71,13 +68,6 @@
         return sum(bool(r.answers) and r.answers[0].code in codes for r in self.requests)
 
 
-def peak_memory_mb(pid: int) -> float:
-    """Return the most memory that a process has held so far."""
-    found = re.search(r"VmHWM:\s+(\d+) kB", Path(f"/proc/{pid}/status").read_text())
-    assert found is not None
-    return int(found.group(1)) / 1024
-
-
 def observe(harness: Harness, kinds: str, count: int, seconds: float) -> Observation:
     """Return what was seen beside a usual client while each kind of misuse went on for `seconds`.
 
--- a/tests/test_reused_addresses.py
+++ b/tests/test_reused_addresses.py
@@ -3,8 +3,7 @@
 from __future__ import annotations
 
 import secrets
-from collections.abc import Iterator
-from pathlib import Path
+from collections.abc import Callable
 from typing import Any
 
 import gevent
@@ -14,6 +13,9 @@
 from faults.engines import StubEngine
 from faults.harness import Harness, wait_for
 from faults.settings import make_settings
+from tests.fault_fixtures import NewHarness
+
+StartHarness = Callable[..., Harness]
 
 
 def make_scoped_settings(**class_changes: Any) -> dict[str, Any]:
@@ -26,19 +28,15 @@
 
 
 @pytest.fixture
-def start(tmp_path: Path) -> Iterator[Any]:
+def start(new_harness: NewHarness) -> StartHarness:
     """Provide a function that starts one proxy with stub engines, by default one."""
-    harnesses = []
 
     def start_harness(engines: int = 1, **class_changes: Any) -> Harness:
-        harness = Harness(tmp_path, None, make_scoped_settings(**class_changes), 1, engines, 1)
-        harnesses.append(harness)
+        harness = new_harness(make_scoped_settings(**class_changes), engines)
         harness.start()
         return harness
 
-    yield start_harness
-    for harness in harnesses:
-        harness.close()
+    return start_harness
 
 
 def announce_another_engine_there(harness: Harness, engine: StubEngine) -> None:
