Read an engine and the channel in turns too

What callers saw: beside one engine that sent answers at full speed which nobody waited for, 117 of 120 usual requests got no answer in time; a proxy whose channel sent comments at full speed did not become ready.

--- a/faults/flood.py
+++ b/faults/flood.py
@@ -1,35 +1,35 @@
 """Floods: client processes that write ready-made frames as fast as the proxy reads them.
 
-`python -m faults.flood HOST PORT KIND SECONDS` runs one flood, which makes its frames before it connects, so that
-writing costs it little, and reads all answers. At the end it prints what it wrote as JSON.
+`python -m faults.flood HOST PORT KIND SECONDS` runs one flood, which makes its frames before it connects, so
+that writing costs it little, and reads all answers. At the end it prints what it wrote as JSON.
 """
 
 from __future__ import annotations
 
-import contextlib
 import dataclasses
 import json
 import secrets
 import selectors
 import socket
-import subprocess
 import sys
 import time
 from collections.abc import Callable
-from dataclasses import dataclass
+
+from gevent import subprocess
 
 from faults import wire
 from faults.proxies import REPOSITORY_ROOT
+from faults.records import FloodReport
 
 STATEMENT = b"select a from sales_1.orders"
 LARGE_STATEMENT = STATEMENT.ljust(3_000)
 FRAMES_PER_BLOCK = 10_000  # more than the used streams that a proxy remembers for a connection
 LARGE_FRAMES_PER_BLOCK = 2_000
 READ_BYTES = 262_144
+RECONNECT_DELAY_S = 0.01  # after a connection has failed
 WAIT_S = 0.1  # longest wait for the connection to become writable or readable
 RECONNECTS_PER_S = {"connects": 500.0, "impossible-length": 700.0}
-# A flood that was never blocked by a full send buffer for this share of its writes was the slow side itself.
-MIN_BLOCKED_SHARE = 0.01
+
 
 FrameMaker = Callable[[int], bytes]  # makes the frames that use one stream
 
@@ -72,28 +72,12 @@
 }
 
 
-@dataclass
-class FloodReport:
-    """What one flood wrote, and how it was held back."""
-
-    kind: str
-    bytes_written: int = 0
-    connections: int = 0
-    writes: int = 0
-    blocked_waits: int = 0  # times the flood waited because the send buffer was full
-
-    @property
-    def was_held_back(self) -> bool:
-        """Whether the proxy, not this process, limited how much was written."""
-        return self.kind in RECONNECTS_PER_S or self.blocked_waits > self.writes * MIN_BLOCKED_SHARE
-
-
 class Flood:
     """A flood of one kind against one proxy."""
 
     def __init__(self, address: tuple[str, int], kind: str) -> None:
         self._address, self._kind = address, kind
-        self.report = FloodReport(kind)
+        self.report = FloodReport(kind, is_paced=kind in RECONNECTS_PER_S)
         count = LARGE_FRAMES_PER_BLOCK if kind.endswith("large") else FRAMES_PER_BLOCK
         if kind in RECONNECTS_PER_S:
             count = 1
@@ -103,11 +87,13 @@
         """Write frames for that time, on one connection at a time, opened again whenever it ends."""
         ends_at = time.monotonic() + seconds
         while time.monotonic() < ends_at:
-            with contextlib.suppress(OSError):
+            try:
                 if self._kind in RECONNECTS_PER_S:
                     self._connect_and_close(ends_at)
                 else:
                     self._write_until_closed(ends_at)
+            except OSError:
+                time.sleep(RECONNECT_DELAY_S)
 
     def _connect_and_close(self, ends_at: float) -> None:
         started_at = time.monotonic()
--- a/faults/flood_trial.py
+++ b/faults/flood_trial.py
@@ -1,7 +1,7 @@
 """Usual clients beside floods: how their requests are answered, by the time that they allow.
 
-The usual clients send a look-up every tenth of a second, with short and long times. Each flood is a process of its
-own (`faults.flood`).
+The usual clients send a look-up every tenth of a second, with short and long times. Each flood is a process
+of its own (`faults.flood`).
 """
 
 from __future__ import annotations
@@ -11,17 +11,17 @@
 import secrets
 import signal
 import time
-from collections.abc import Sequence
+from collections.abc import Callable, Sequence
 from dataclasses import dataclass, field
 from pathlib import Path
 
 import gevent
 
 from faults.clients import ClientConnection
-from faults.flood import FloodReport, read_report, start_flood
+from faults.flood import read_report, start_flood
 from faults.harness import Harness
 from faults.proxies import Proxy
-from faults.records import AnswerCode, RequestRecord
+from faults.records import AnswerCode, FloodReport, RequestRecord
 from faults.settings import make_settings
 
 ALLOWED_S = (0.04, 0.2, 0.5, 0.6, 2.5)  # times that usual clients allow, in turn
@@ -96,17 +96,18 @@
     seconds: float,
     memory_mb: int = 192,
     terminate_after_s: float | None = None,
-    console_calls: Sequence[tuple[float, str]] = (),
     engines: int = 3,
+    prepare: Callable[[Harness], None] = lambda harness: None,
 ) -> TrialResult:
     """Run `count` floods for that time, of the kinds in turn, beside usual clients of one proxy.
 
-    With `terminate_after_s` the proxy gets SIGTERM that long after the floods' start, and requests that are sent
-    afterwards do not count.
+    With `terminate_after_s` the proxy gets SIGTERM that long after the floods' start, and the usual clients
+    send nothing afterwards. `prepare` is called before the proxy starts.
     """
     harness = Harness(folder, None, make_settings(), 1, engines, 1)
     try:
         harness.configure_all(limits={**PROXY_LIMITS, "memory_mb": memory_mb})
+        prepare(harness)
         harness.start()
         return _Trial(harness, terminate_after_s).run(kinds, count, seconds)
     finally:
--- a/faults/records.py
+++ b/faults/records.py
@@ -12,6 +12,8 @@
 # Seconds after which an event of the command channel counts as delivered, even if it was announced during an
 # outage of the channel.
 MAX_DELIVERY_DELAY_S = 7.0
+# A flood that was never blocked by a full send buffer for this share of its writes was the slow side itself.
+MIN_BLOCKED_SHARE = 0.01
 
 
 class AnswerCode(enum.IntEnum):
@@ -171,6 +173,23 @@
     output: str = ""  # what the proxy's processes wrote to stdout and stderr until this one exited
 
 
+@dataclass(slots=True)
+class FloodReport:
+    """What one flood wrote, and how it was held back."""
+
+    kind: str
+    bytes_written: int = 0
+    connections: int = 0
+    writes: int = 0
+    is_paced: bool = False  # it opens connections at a fixed rate, so nothing can hold it back
+    blocked_waits: int = 0  # times the flood waited because the send buffer was full
+
+    @property
+    def was_held_back(self) -> bool:
+        """Whether the proxy, not this process, limited how much was written."""
+        return self.is_paced or self.blocked_waits > self.writes * MIN_BLOCKED_SHARE
+
+
 @dataclass(slots=True)
 class RunRecord:
     """All records of one run."""
@@ -186,6 +205,7 @@
     events: list[tuple[float, str]] = field(default_factory=list)  # times and descriptions of injected faults
     stalls: list[tuple[float, float]] = field(default_factory=list)  # ends and durations of harness stalls
     injected: dict[str, int] = field(default_factory=dict)  # number of injected faults by kind
+    floods: list[FloodReport] = field(default_factory=list)
     dating_error_s: float = 0.0  # largest error of a date that the kernel gave
 
     def is_near_channel_outage(self, at: float) -> bool:
--- a/hollowhitch/net/channel.py
+++ b/hollowhitch/net/channel.py
@@ -12,6 +12,7 @@
 from hollowhitch.config import Address
 from hollowhitch.metrics import Metrics
 from hollowhitch.net.dial import dial
+from hollowhitch.net.turns import Turn
 from hollowhitch.protocol.buffer import ReceiveBuffer
 from hollowhitch.protocol.channel import (
     ChannelError,
@@ -127,18 +128,20 @@
             sock.settimeout(None)
             host_port = f"{address[0]}:{address[1]}"
             sock.sendall(format_request(PATH, host_port, self.cursor))
-            protocol, buffer = ChannelProtocol(), ReceiveBuffer()
+            protocol, buffer, turn = ChannelProtocol(), ReceiveBuffer(), Turn()
             while not protocol.ended:
                 with buffer.reserve() as free_space:
                     count = sock.recv_into(free_space)
                     if count and self._answered_call is not gevent.getcurrent():
                         self._call_answered()
                         sock.settimeout(READ_TIMEOUT_S)
+                    turn.began()
                     events = protocol.feed(free_space[:count]) if count else []
                 if count == 0:
                     return
                 for event in events:
                     self.process_event(event)
+                turn.yield_if_over()
 
     def process_event(self, event: ServerEvent) -> None:
         """Apply an event, unless it was applied before.
--- a/hollowhitch/net/engine_pools.py
+++ b/hollowhitch/net/engine_pools.py
@@ -22,6 +22,7 @@
 from hollowhitch.net.loop_monitor import LoopMonitor
 from hollowhitch.net.send_queue import SendQueue
 from hollowhitch.net.system_call_errors import ErrorOrigin, SystemCall, retry_transient
+from hollowhitch.net.turns import Turn
 from hollowhitch.policy.constants import OVERDUE_FACTOR
 from hollowhitch.policy.interface import EngineList, EngineState, ListKind, LoadReport, Outcome, ProbeEnded
 from hollowhitch.policy.membership import Membership
@@ -158,11 +159,12 @@
             self.close(f"write: {e}")
 
     def _read(self) -> None:
-        protocol = self.protocol
+        protocol, turn = self.protocol, Turn()
         try:
             while not self.closed:
                 with protocol.buffer.reserve() as free_space:
                     count = retry_transient(SystemCall.RECEIVE, self.sock.recv_into, free_space)
+                turn.began()
                 if count == 0:
                     return self.close("ended by the engine")
                 self.last_received_at_us, self.is_suspect = self.pool.owner.clock.now_us(), False
@@ -184,6 +186,7 @@
                         "engine", "protocol error", engine=self.pool.engine_id, reason=protocol.protocol_error
                     )
                     return self.close("")
+                turn.yield_if_over()
         except OSError as e:
             self.close(f"read: {e}")
         except Exception as e:  # a bug in the proxy must not keep the connection's attempts from ending
--- a/tests/test_client_floods.py
+++ b/tests/test_client_floods.py
@@ -4,7 +4,10 @@
 
 import pytest
 
+from faults.channel import Member
 from faults.flood_trial import run_trial
+from faults.harness import Harness
+from faults.peer_flood import start_peer_flood
 
 FLOOD_S = 3.0
 MAX_LATENESS_S = 0.1  # how much later than its time an answer may come
@@ -25,3 +28,33 @@
 @pytest.mark.parametrize("kind", ["taken-back", "taken-back-new-names", "taken-back-new-keys"])
 def test_answers_are_in_time_beside_eight_floods_that_are_taken_back(tmp_path, kind):
     check(tmp_path, [kind], 8)
+
+
+# Guards against answers that come late because one engine sends answers at full speed that nobody waits for.
+def test_answers_are_in_time_beside_an_engine_that_floods(tmp_path):
+    peer = start_peer_flood("answers", "s-flooding", "127.0.2.1")
+    try:
+        result = run_trial(
+            tmp_path, [], 0, FLOOD_S, prepare=lambda harness: harness.channel.announce(Member(peer))
+        )
+    finally:
+        peer.stop()
+    assert not result.lost(), result.describe()
+    assert result.latest_s() <= MAX_LATENESS_S, result.describe()
+
+
+# Guards against answers that come late because the channel sends comments at full speed.
+def test_answers_are_in_time_beside_a_channel_that_floods(tmp_path):
+    peer = start_peer_flood("comments", "channel", "127.0.2.2")
+
+    def follow_flood(harness: Harness) -> None:
+        harness.channel.address = f"{peer.host}:{peer.port}"
+        harness.configure_all()
+
+    try:
+        result = run_trial(tmp_path, [], 0, FLOOD_S, prepare=follow_flood)
+    finally:
+        peer.stop()
+    assert not result.lost(), result.describe()
+    assert result.latest_s() <= MAX_LATENESS_S, result.describe()
+    assert result.served_share() >= MIN_SERVED_SHARE, result.describe()
