Make floods part of the random runs, with usual clients that allow short times

The report tells what they wrote, the peak memory, and requests, served, late and never answered by the time that they allowed.

--- a/faults/report.py
+++ b/faults/report.py
@@ -5,18 +5,23 @@
 import dataclasses
 import enum
 import json
+import re
 from collections.abc import Mapping
 from dataclasses import dataclass, field
 
 from hdrh.histogram import HdrHistogram
 
 from faults.delays import describe_answer_delays, encode_answer_delays
+from faults.flood_generator import describe_floods
 from faults.records import AnswerCode, RuleViolation, RunRecord
 
 CONTEXT_BEFORE_S = 2.0  # a violation is reported with the faults of this many seconds before it
 MAX_EVENTS_SHOWN = 16
 MAX_LATENCY_MS, LATENCY_SIGNIFICANT_DIGITS = 60_000, 3
 
+# Matches the metric with which a process reports the most memory that it has held, in bytes.
+MEMORY_METRIC = re.compile(r"^hollowhitch_memory_bytes ([0-9.e+]+)", re.MULTILINE)
+
 KnownIssues = Mapping[int, Mapping[str, str]]  # issue numbers of known violations, by seed and rule
 
 
@@ -44,6 +49,10 @@
     breaks: list[dict[str, object]] = field(default_factory=list)  # the rule violations
     answer_delays: dict[str, str] = field(default_factory=dict)  # encoded histograms by stage, see `delays`
     dating_error_us: float = 0.0  # largest error of the dates that the kernel gave
+    floods: str = ""  # what the floods wrote; empty without floods
+    # By the seconds that requests allowed, of seeds with floods: requests, served, late and never answered.
+    by_allowed_s: dict[str, list[int]] = field(default_factory=dict)
+    peak_memory_mb: float = 0.0  # the most that one proxy held, as it reported at its end
     error: str = ""
 
     def verdict(self, known_issues: KnownIssues) -> Verdict:
@@ -77,9 +86,31 @@
         breaks=[_describe(violation, run, started_at) for violation in violations],
         answer_delays=encode_answer_delays(run),
         dating_error_us=round(run.dating_error_s * 1e6, 1),
+        floods=describe_floods(run.floods),
+        by_allowed_s=_count_by_allowed_time(run) if run.floods else {},
+        peak_memory_mb=_peak_memory_mb(run),
     )
 
 
+def _count_by_allowed_time(run: RunRecord) -> dict[str, list[int]]:
+    """Return the numbers of requests, of those served, answered late and never answered, by allowed time."""
+    counts: dict[str, list[int]] = {}
+    for record in sorted(run.requests, key=lambda record: record.allowed_s):
+        row = counts.setdefault(f"{record.allowed_s:g}", [0, 0, 0, 0])
+        row[0] += 1
+        if not record.answers:
+            row[3] += record.cancelled_at is None and record.connection_ended_at is None
+            continue
+        row[1] += record.answers[0].code is AnswerCode.SERVED
+        row[2] += record.answers[0].received_at > record.sent_at + record.allowed_s
+    return counts
+
+
+def _peak_memory_mb(run: RunRecord) -> float:
+    found = [float(value) for process in run.processes for value in MEMORY_METRIC.findall(process.output)]
+    return round(max(found, default=0.0) / 2**20, 1)
+
+
 def _describe(violation: RuleViolation, run: RunRecord, started_at: float) -> dict[str, object]:
     context = [
         f"{at - started_at:.3f} {text}"
@@ -116,6 +147,12 @@
             f"{report.seed:>6} {report.proxies:>7} {report.requests:>8} {report.answers.get('served', 0):>6} "
             f"{faults:>6} {report.orders:>6} {report.stall_ms:>6} {len(report.breaks):>6} {report.error}"
         )
+    for report in reports:
+        if report.floods:
+            lines.append(
+                f"seed {report.seed}: {report.floods}; peak memory {report.peak_memory_mb} MB; by seconds "
+                f"allowed (requests, served, late, never): {report.by_allowed_s}"
+            )
     lines += describe_answer_delays(report.answer_delays for report in reports)
     dating_error_us = max((report.dating_error_us for report in reports), default=0.0)
     lines.append(f"largest error of a date: {dating_error_us:g} us")
--- a/faults/scenario.py
+++ b/faults/scenario.py
@@ -16,6 +16,7 @@
 from faults.channel import Member
 from faults.clients import ClientConnection, new_ref, new_replay
 from faults.engines import Behaviour, StubEngine
+from faults.flood_generator import FloodGenerator
 from faults.harness import Harness
 from faults.load_balancer import LoadBalancer
 from faults.orders import OrderGenerator
@@ -40,6 +41,7 @@
 FLEET_PROXIES, FLEET_ENGINES = (10, 40), (6, 16)  # least and largest number
 MAX_CHAIN_CLIENTS = 4  # largest number of clients that send chains of requests with one key
 CHAIN_WORK_S = (0.05, 0.4)  # least run time of such a request: the range of the engines' draws
+FLOOD_OVERTIME_S = 3.0  # seconds that floods may go on while the proxies shut down
 MALFORMED_BYTES = (b"\xff" * 40, b"\0\0\0\x01x", b"GET / HTTP/1.1\r\n\r\n")
 
 
@@ -66,6 +68,9 @@
         self.order_generator = OrderGenerator(
             self.harness, random.Random(f"orders {seed}"), self._record_fault
         )
+        self.flood_generator = FloodGenerator(
+            seed, self.run, self._connect, seconds + FLOOD_OVERTIME_S, 2 * self.deadline_s
+        )
         self.has_idle_clients = self.rng.random() < 0.25
         self.is_ending = False
         self._chain_rng = random.Random(f"chains {seed}")  # apart from the draws of everything else
@@ -87,6 +92,7 @@
         chain_clients = self._start_chain_clients()
         if self.has_idle_clients:
             clients += [gevent.spawn(self._run_idle_client, self.harness.proxies[0]) for _ in range(150)]
+        self.flood_generator.start(self.harness.proxies)
         ends_at = time.monotonic() + self.seconds
         while time.monotonic() < ends_at:
             gevent.sleep(self.rng.uniform(0.05, 0.6))
@@ -101,6 +107,7 @@
             chain_client.stop()
         load_balancer.stop()
         self.order_generator.finish()
+        self.flood_generator.finish()
         gevent.joinall(clients, timeout=5.0)
         gevent.sleep(0.1)
         for call in Call:
