Do not let requests behind late input delay others of their key

Found by reading the new queue again, before anybody saw it: a request with a key that was read on a flooded connection stood in the order of its key, not to be started before all input was read, so that others of that key waited for a client that never ends.

Beside it: whether a cancellation may be hidden in unread input now counts the time for which that input may have waited before the poll that reported it.

Test: test_a_request_does_not_wait_for_one_of_its_key_whose_input_is_late, red before.

--- a/hollowhitch/net/client_connection.py
+++ b/hollowhitch/net/client_connection.py
@@ -94,7 +94,7 @@
         self.memory = ConnectionMemory(host.memory)
         clock = host.gateway.clock
         receiver = Receiver(sock, clock, host.loop_monitor, pending_since_us)
-        self.reader = ConnectionReader(self, receiver, sock, host.scheduler, clock)
+        self.reader = ConnectionReader(self, receiver, sock, host.scheduler, clock, host.loop_monitor)
         self.send_queue = SendQueue(
             sock,
             MAX_QUEUED_BYTES,
@@ -302,14 +302,11 @@
             self.send_queue.wake()
 
     def input_is_late(self) -> None:
-        """Refuse the requests that wait in the order of a key: others do not wait for them any longer."""
+        """Report a client that sends faster than its share of the process's time allows to read."""
         self.host.gateway.metrics.late_inputs.add("unread")
         log.event(
             "share", "client sends faster than it is read", client=self.peer_address, open=len(self.queries)
         )
-        for stream, queued in list(self._queued_requests.items()):
-            if queued.request.order_key is not None:
-                self._refuse_queued(stream, "read late")
 
     def input_ended(self) -> None:
         """Close the connection, because the client has closed it or it has failed."""
--- a/hollowhitch/net/connection_reader.py
+++ b/hollowhitch/net/connection_reader.py
@@ -13,6 +13,7 @@
 from hollowhitch.clock import Clock
 from hollowhitch.net.client_activity import ClientActivity
 from hollowhitch.net.input_scheduler import InputScheduler
+from hollowhitch.net.loop_monitor import LoopMonitor
 from hollowhitch.net.memory_budget import ConnectionMemory
 from hollowhitch.net.peer_state import PeerState
 from hollowhitch.net.receive_times import Received, Receiver
@@ -81,9 +82,10 @@
         sock: socket.socket,
         scheduler: InputScheduler,
         clock: Clock,
+        loop_monitor: LoopMonitor,
     ) -> None:
         self._handler, self._receiver, self._sock = handler, receiver, sock
-        self._scheduler, self._clock = scheduler, clock
+        self._scheduler, self._clock, self._loop_monitor = scheduler, clock, loop_monitor
         self.peer = PeerState(sock)
         self.unusable_frame_count = 0
         self._delayed_frame_count = 0  # unusable frames for which reading was delayed
@@ -93,6 +95,7 @@
         self._pause_reasons: set[PauseReason] = set()
         self._paused_at_us: int | None = None
         self._unread_since_us: int | None = None  # since when input is known to be unread; None: it is not
+        self._waited_before_us = 0  # for how long that input may have waited before it was known
         self._received: Received | None = None  # the last read, while frames of it may be in the buffer
         self._reads_late = False  # what is read next may have arrived long before requests of others
         self._is_reported_late = False
@@ -120,6 +123,7 @@
     def _on_readable(self) -> None:
         if self._unread_since_us is None:
             self._unread_since_us = self._clock.now_us()
+            self._waited_before_us = self._loop_monitor.unpolled_time_us
             self._scheduler.requests.input_is_unread(self, self._receiver.earliest_unread_us())
             self._scheduler.has_input(self)
 
@@ -168,18 +172,22 @@
     @property
     def reads_late(self) -> bool:
         """Whether what is read now may have arrived long before requests of others that were started."""
-        return self._reads_late or self._is_late
+        return self._reads_late or self.is_late
 
     @property
-    def _is_late(self) -> bool:
+    def is_late(self) -> bool:
+        """Whether input has been unread for so long that others do not wait for it any more."""
+        return self._has_been_unread_for(MAX_UNREAD_US)
+
+    def _has_been_unread_for(self, duration_us: int) -> bool:
         since_us = self._unread_since_us
-        return since_us is not None and self._clock.now_us() - since_us >= MAX_UNREAD_US
+        return since_us is not None and self._clock.now_us() - since_us >= duration_us
 
     @property
     def may_hide_cancellation(self) -> bool:
         """Whether a cancellation, or the client's close, may have been unread for too long."""
         if self._unread_since_us is not None or self._paused_at_us is None:
-            return self._is_late
+            return self._has_been_unread_for(MAX_UNREAD_US - self._waited_before_us)
         return self._clock.now_us() - self._paused_at_us >= MAX_UNREAD_US and unread_bytes(self._sock) > 0
 
     @property
@@ -211,7 +219,7 @@
                 self._after_read()
             if self._clock.now_us() >= ends_at_us:
                 break
-        if self._may_read and self._is_late and not self._is_reported_late:
+        if self._may_read and self.is_late and not self._is_reported_late:
             self._is_reported_late = True
             self._handler.input_is_late()
 
--- a/hollowhitch/net/loop_monitor.py
+++ b/hollowhitch/net/loop_monitor.py
@@ -31,12 +31,15 @@
         self.loop_ran_at_us = self._updated_at_us = clock.now_us()
         self.clock_offset_us = self._last_offset_us = clock.wall_offset_us()
         self.polled_at_us = self._updated_at_us  # when the loop last polled for I/O
-        self._watcher = gevent.get_hub().loop.check()
+        self._busy_us = 0  # time between the last two polls
+        loop = gevent.get_hub().loop
+        self._watcher, self._poll_watcher = loop.check(), loop.prepare()
 
     def start(self) -> None:
         """Start the updates, which do not end."""
         gevent.spawn(self._run)
         self._watcher.start(self._on_poll)
+        self._poll_watcher.start(self._before_poll)
 
     def _run(self) -> None:
         while True:
@@ -46,6 +49,19 @@
     def _on_poll(self) -> None:
         self.polled_at_us = self._clock.now_us()
 
+    def _before_poll(self) -> None:
+        self._busy_us = self._clock.now_us() - self.polled_at_us
+
+    @property
+    def unpolled_time_us(self) -> int:
+        """For how long what the last poll reported may have waited before.
+
+        While the loop waits in a poll nothing waits, unless the process was stopped meanwhile.
+        """
+        if self.stalled:
+            return self._clock.now_us() - self.loop_ran_at_us
+        return self._busy_us
+
     @property
     def stalled(self) -> bool:
         """Whether the loop was stalled just now, so that bytes read next may have waited for long."""
--- a/hollowhitch/net/request_queue.py
+++ b/hollowhitch/net/request_queue.py
@@ -67,6 +67,8 @@
         self._startable: dict[Hashable, dict[QueuedRequest, None]] = {}
         self._without_key = CallHeap()  # requests without a key that were read just now, by arrival
         self._with_key = CallHeap()  # requests with a key that wait for older input, by arrival
+        # Those whose connections have late input, by connection. They do not delay others of their key.
+        self._late: dict[Hashable, dict[QueuedRequest, None]] = {}
         self._by_key: dict[bytes, dict[QueuedRequest, None]] = {}  # those in order; only the first may start
         self._unread: set[Hashable] = set()  # connections with input that is not read
         # Of those for whose input others wait: a time before which none of that input can have arrived.
@@ -97,6 +99,12 @@
             request._due_call.cancel()
             request._due_call = None
             return
+        late_requests = self._late.get(request.connection)
+        if late_requests is not None and request in late_requests:
+            del late_requests[request]
+            if not late_requests:
+                del self._late[request.connection]
+            return
         requests = self._startable.get(request.connection)
         if requests is not None and request in requests:
             del requests[request]
@@ -123,6 +131,9 @@
         if request.order_key is None:
             self._may_start(request)
             return
+        if request.connection in self._unread and request.connection not in self._waited_for_input:
+            self._late.setdefault(request.connection, {})[request] = None
+            return
         requests = self._by_key.setdefault(request.order_key, {})
         requests[request] = None
         if len(requests) == 1:
@@ -158,6 +169,8 @@
         if connection not in self._unread:
             return
         self._unread.discard(connection)
+        for request in self._late.pop(connection, ()):
+            self._is_in_order(request)
         if connection in self._startable:
             self._fair.add(connection)
             self._on_work()
--- a/tests/test_request_queue.py
+++ b/tests/test_request_queue.py
@@ -93,6 +93,20 @@
     assert fixture.started == [15]
 
 
+# Guards against loads that wait for one of their key on a connection that is flooded.
+def test_a_request_does_not_wait_for_one_of_its_key_whose_input_is_late(fixture):
+    fixture.queue.input_is_unread("busy", since_us=10)
+    fixture.add("busy", 15, KEY)
+    fixture.clock.time_us += MAX_UNREAD_US + 1
+    fixture.run()
+    fixture.add("a", 20, KEY)
+    fixture.run()
+    assert fixture.started == [20]
+    fixture.queue.input_is_read("busy")
+    fixture.run()
+    assert fixture.started == [20, 15]
+
+
 # Guards against a load that is started before an older one of its key, whose connection has its turn later.
 def test_requests_with_one_key_are_started_in_order_whatever_their_connections(fixture):
     older = fixture.add("a", 10, KEY)
@@ -133,13 +147,14 @@
         fixture.queue.input_is_unread("a", since_us=0)
         request = fixture.add("a", number, key)
         if is_run:
+            fixture.clock.time_us += MAX_UNREAD_US + 1
             fixture.run()
         request.cancel()
         assert len(fixture.queue) < 1_000
     fixture.queue.input_is_read("a")
     fixture.add("a", 7, key)
     fixture.run()
-    assert fixture.started == [7] and not fixture.queue._by_key and not fixture.queue._startable
+    assert fixture.started == [7] and not len(fixture.queue)
 
 
 # Guards against a request that is started after it was cancelled, or not at all, in any state of the queue.
