--- a/faults/flood_trial.py
+++ b/faults/flood_trial.py
@@ -17,11 +17,13 @@
 
 import gevent
 
+from faults.checker import Checker
 from faults.clients import ClientConnection
+from faults.dating import wall_clock_offset
 from faults.flood import read_report, start_flood
 from faults.harness import Harness
 from faults.proxies import Proxy
-from faults.records import AnswerCode, FloodReport, RequestRecord
+from faults.records import AnswerCode, FloodReport, RequestRecord, RuleViolation
 from faults.settings import make_settings
 
 ALLOWED_S = (0.04, 0.2, 0.5, 0.6, 2.5)  # times that usual clients allow, in turn
@@ -41,6 +43,7 @@
     floods: list[FloodReport] = field(default_factory=list)
     peak_memory_mb: float = 0.0
     core_share: float = 0.0  # processor time of the proxy per second while the floods ran
+    violations: list[RuleViolation] = field(default_factory=list)
     shutdown_s: float | None = None  # from SIGTERM to the end of the process
 
     def lateness_s(self, request: RequestRecord) -> float:
@@ -98,18 +101,23 @@
     terminate_after_s: float | None = None,
     engines: int = 3,
     prepare: Callable[[Harness], None] = lambda harness: None,
+    reconnects: bool = False,
 ) -> TrialResult:
     """Run `count` floods for that time, of the kinds in turn, beside usual clients of one proxy.
 
     With `terminate_after_s` the proxy gets SIGTERM that long after the floods' start, and the usual clients
-    send nothing afterwards. `prepare` is called before the proxy starts.
+    send nothing afterwards. `prepare` is called before the proxy starts. With `reconnects` the usual clients
+    open a connection for each request.
     """
     harness = Harness(folder, None, make_settings(), 1, engines, 1)
     try:
         harness.configure_all(limits={**PROXY_LIMITS, "memory_mb": memory_mb})
         prepare(harness)
         harness.start()
-        return _Trial(harness, terminate_after_s).run(kinds, count, seconds)
+        result = _Trial(harness, terminate_after_s, reconnects).run(kinds, count, seconds)
+        harness.run.dating_error_s = wall_clock_offset.max_error_s
+        result.violations = Checker(harness.run, harness.settings).check()
+        return result
     finally:
         harness.close()
 
@@ -117,9 +125,9 @@
 class _Trial:
     """One trial on a running harness."""
 
-    def __init__(self, harness: Harness, terminate_after_s: float | None) -> None:
+    def __init__(self, harness: Harness, terminate_after_s: float | None, reconnects: bool) -> None:
         self._harness, self._proxy = harness, harness.proxies[0]
-        self._terminate_after_s = terminate_after_s
+        self._terminate_after_s, self._reconnects = terminate_after_s, reconnects
         self._result = TrialResult()
         self._is_sending = True
 
@@ -152,6 +160,8 @@
     def _send_requests(self, number: int) -> None:
         client, sent = connect(self._harness, self._proxy), number
         while self._is_sending:
+            if self._reconnects:
+                client = connect(self._harness, self._proxy)
             allowed_s = ALLOWED_S[sent % len(ALLOWED_S)]
             record = client.request(secrets.token_hex(8), "safe", allowed_s)
             if record is not None:
--- a/hollowhitch/console/server.py
+++ b/hollowhitch/console/server.py
@@ -18,6 +18,7 @@
 from hollowhitch.metrics import Metrics
 from hollowhitch.net.cooperation import yield_to_loop
 from hollowhitch.net.listener import Listener
+from hollowhitch.net.receive_times import AcceptWait
 from hollowhitch.net.system_call_errors import SystemCall, retry_transient
 from hollowhitch.net.unread import unread_bytes
 
@@ -58,7 +59,7 @@
         for connection in list(self._connections):
             connection.close()
 
-    def _admit(self, sock: socket.socket, _: int | None) -> Callable[[], None]:
+    def _admit(self, sock: socket.socket, _: AcceptWait) -> Callable[[], None]:
         if len(self._connections) >= self._max_connections:
             self._evict()
         connection = OperatorConnection(sock)
--- a/hollowhitch/net/client_connection.py
+++ b/hollowhitch/net/client_connection.py
@@ -24,7 +24,7 @@
 from hollowhitch.net.loop_monitor import LoopMonitor
 from hollowhitch.net.memory_budget import ConnectionMemory, MemoryBudget
 from hollowhitch.net.query_refs import QueryRefs
-from hollowhitch.net.receive_times import Received, Receiver, enable_receive_timestamps
+from hollowhitch.net.receive_times import AcceptWait, Received, Receiver, enable_receive_timestamps
 from hollowhitch.net.request_queue import QueuedRequest
 from hollowhitch.net.send_queue import SendQueue
 from hollowhitch.net.unread import unread_bytes
@@ -86,14 +86,14 @@
     """
 
     def __init__(
-        self, host: ConnectionHost, sock: socket.socket, pending_since_us: int | None = None
+        self, host: ConnectionHost, sock: socket.socket, accept_wait: AcceptWait | None = None
     ) -> None:
         self.host, self.sock = host, sock
         self.protocol = frames.ClientProtocol()
         self.closing = ConnectionClosing()
         self.memory = ConnectionMemory(host.memory)
         clock = host.gateway.clock
-        receiver = Receiver(sock, clock, host.loop_monitor, pending_since_us)
+        receiver = Receiver(sock, clock, host.loop_monitor, accept_wait)
         self.reader = ConnectionReader(self, receiver, sock, host.scheduler, clock, host.loop_monitor)
         self.send_queue = SendQueue(
             sock,
@@ -259,7 +259,8 @@
             if self.closed:
                 return
             self._shut_write_side()
-            gevent.sleep(LINGER_S)
+            if not self.reader.peer.has_closed:
+                gevent.sleep(LINGER_S)
         except OSError:
             pass
         self.close()
--- a/hollowhitch/net/frontend.py
+++ b/hollowhitch/net/frontend.py
@@ -22,6 +22,7 @@
 from hollowhitch.net.loop_monitor import LoopMonitor
 from hollowhitch.net.memory_budget import MemoryBudget
 from hollowhitch.net.query_refs import QueryRefs
+from hollowhitch.net.receive_times import AcceptWait
 from hollowhitch.protocol import frames
 
 SWEEP_INTERVAL_S = 0.25  # seconds between checks for connections that have timed out
@@ -62,12 +63,12 @@
         """Host and port; after `start`, those that are bound."""
         return self._listener.address
 
-    def _admit(self, sock: socket.socket, pending_since_us: int | None) -> None:
+    def _admit(self, sock: socket.socket, accept_wait: AcceptWait) -> None:
         if not self._make_room():
             self.gateway.metrics.client_closes.add(CloseReason.CONNECTION_LIMIT.value)
             sock.close()
             return
-        connection = ClientConnection(self, sock, pending_since_us)
+        connection = ClientConnection(self, sock, accept_wait)
         self.connections.add(connection)
         self._all_closed.clear()
         if self.lifecycle.asks_clients_to_leave:
--- a/hollowhitch/net/receive_times.py
+++ b/hollowhitch/net/receive_times.py
@@ -65,11 +65,19 @@
     earliest_at_us: int  # earliest possible arrival of the bytes, from which a request's time limit counts
 
 
+@dataclass(frozen=True, slots=True)
+class AcceptWait:
+    """The wait of a connection in the kernel's queue until it was accepted."""
+
+    since_us: int  # it did not begin before
+    offset_us: int  # the wall clock's offset at that time
+    was_failing: bool  # accepting failed meanwhile, so the wait may have been long
+
+
 class Receiver:
     """Reader of a client's socket, which also determines when the bytes arrived. It does not block.
 
-    `pending_since_us` is the earliest time from which the connection may have waited to be accepted, or None
-    if it was accepted as soon as it arrived.
+    `accept_wait` is what the connection may have waited before, if it came from a listener.
     """
 
     def __init__(
@@ -77,7 +85,7 @@
         sock: socket.socket,
         clock: Clock,
         loop_monitor: LoopMonitor,
-        pending_since_us: int | None = None,
+        accept_wait: AcceptWait | None = None,
     ) -> None:
         # Another object for the same descriptor: reads of a gevent socket would block the greenlet.
         self._sock = native_socket.socket(sock.family, sock.type, sock.proto, fileno=sock.fileno())
@@ -90,11 +98,12 @@
         self._unread_start: tuple[int, int] | None = None
         self._is_after_stall = False  # the first bytes since a stall or a pause are being read
         self.is_behind = False  # bytes were still unread after the last read
-        if pending_since_us is not None:
-            self._paused_since = (
-                min(pending_since_us, loop_monitor.loop_ran_at_us),
-                loop_monitor.clock_offset_us,
-            )
+        if accept_wait is not None:
+            start = min((accept_wait.since_us, accept_wait.offset_us), self._last_loop_run())
+            if accept_wait.was_failing:
+                self._paused_since = start
+            else:
+                self._unread_start = start
 
     def close(self) -> None:
         """Release the descriptor, which its owner closes."""
--- a/tests/test_client_floods.py
+++ b/tests/test_client_floods.py
@@ -30,6 +30,17 @@
     check(tmp_path, [kind], 8)
 
 
+# Guards against requests on new connections that are lost while others connect thousands of times a second.
+@pytest.mark.parametrize(
+    "kinds", [["connects"], ["impossible-length"], ["taken-back-large", "impossible-length"]]
+)
+def test_requests_on_new_connections_are_served_beside_floods_of_new_connections(tmp_path, kinds):
+    result = run_trial(tmp_path, kinds, 8, FLOOD_S, MEMORY_MB, reconnects=True)
+    assert not [violation for violation in result.violations if violation.rule == "deadline"]
+    assert not result.lost() and result.served_share() >= MIN_SERVED_SHARE, result.describe()
+    assert result.peak_memory_mb <= MEMORY_MB
+
+
 # Guards against answers that come late because one engine sends answers at full speed that nobody waits for.
 def test_answers_are_in_time_beside_an_engine_that_floods(tmp_path):
     peer = start_peer_flood("answers", "s-flooding", "127.0.2.1")
--- a/tests/test_proxy.py
+++ b/tests/test_proxy.py
@@ -7,6 +7,7 @@
 import gc
 import json
 import os
+import re
 import signal
 import struct
 import subprocess
@@ -25,7 +26,7 @@
 from hollowhitch import config as configuration
 from hollowhitch import log
 from hollowhitch.metrics import Metrics
-from hollowhitch.net import client_activity, engine_pools, frontend, input_scheduler
+from hollowhitch.net import client_activity, engine_pools, frontend, input_scheduler, turns
 from hollowhitch.net.dial import dial
 from hollowhitch.net.memory_budget import MemoryBudget
 from hollowhitch.net.receive_times import Receiver
@@ -38,6 +39,7 @@
 
 FIELDS = {"service": "q", "ref": "00000000000000aa", "allow": "6000"}
 ROW = b"a\tb\tc\n"
+MAX_EXCESS_WAIT_MS = 150  # by which the time that an engine is given may exceed what the client has left
 # Takes the verb and the ref of a line that an engine received, and returns the bytes of its answer.
 Responder = Callable[[str, str], bytes]
 
@@ -672,6 +674,21 @@
     assert proxy.frontend.memory.held_bytes == 0
 
 
+# Guards against engines that are given time which a request has spent in the kernel's queue of connections.
+def test_the_time_in_a_long_queue_of_new_connections_counts(start_proxy, monkeypatch):
+    count, interval_s = 20, 0.03
+    monkeypatch.setattr(turns, "TURN_S", 0.0)
+    monkeypatch.setattr(turns, "yield_to_loop", lambda: gevent.sleep(interval_s))
+    proxy, (engine,) = start_proxy(answer_rows)
+    clients = [Client(proxy) for _ in range(count)]
+    for number, client in enumerate(clients):
+        client.send_request(1, ref=f"{number:016x}")
+    assert clients[-1].read_answer()[:2] == (1, frames.SERVED)
+    waits_ms = [int(re.search(r"wait=(\d+)", line)[1]) for line in engine.received_lines]
+    waited_ms = (count - 1) * interval_s * 1000
+    assert min(waits_ms) <= int(FIELDS["allow"]) - waited_ms + MAX_EXCESS_WAIT_MS
+
+
 # Guards against a refusal, after which a client may send again, that becomes a failure for lack of memory.
 def test_a_refusal_stays_a_refusal_while_memory_is_exhausted(start_proxy, monkeypatch):
     proxy, _ = start_proxy(answer_rows)
