Let a connection hold no more memory for requests than is free

Change: a connection that holds some may take more only up to what is free (a dynamic threshold), so that those which take all they can hold equal parts and leave one.

--- a/hollowhitch/net/memory_budget.py
+++ b/hollowhitch/net/memory_budget.py
@@ -10,6 +10,9 @@
 # Share of the budget that incomplete frames may take, so that clients that never complete them leave room for
 # others.
 INCOMPLETE_FRAMES_SHARE = 0.5
+# Largest ratio of what one connection holds for requests to what is free. Connections that take all they can
+# get then hold equal parts, and leave room for those that hold little (a dynamic threshold).
+MAX_HELD_PER_FREE = 1.0
 
 
 class MemoryBudget:
@@ -48,6 +51,7 @@
         self.budget = budget
         self._frame_bytes = 0  # reserved for the incomplete frame
         self._request_bytes: dict[int, int] = {}  # by stream
+        self._all_request_bytes = 0
 
     def reserve_frame(self, size: int) -> bool:
         """Reserve `size` bytes for the frame that is being received; return whether there is room.
@@ -76,15 +80,24 @@
         self._frame_bytes = 0
 
     def hold_request(self, stream: int, size: int) -> bool:
-        """Count a request until `release_request`, and return whether there is room for it."""
+        """Count a request until `release_request`, and return whether there is room for it.
+
+        The first request of a connection may take all that is free, each further one only its part.
+        """
+        max_bytes = MAX_HELD_PER_FREE * (self.budget.limit_bytes - self.budget.held_bytes)
+        if self._all_request_bytes and self._all_request_bytes + size > max_bytes:
+            return False
         if not self.budget.try_hold(size):
             return False
         self._request_bytes[stream] = size
+        self._all_request_bytes += size
         return True
 
     def release_request(self, stream: int) -> None:
         """Release what is held for a request, if anything is."""
-        self.budget.hold(-self._request_bytes.pop(stream, 0))
+        size = self._request_bytes.pop(stream, 0)
+        self._all_request_bytes -= size
+        self.budget.hold(-size)
 
     def release_all(self) -> None:
         """Release everything that the connection holds."""
