Start nothing while more of a client's input may be on its way

Cause: a client that has filled the receive window waits for space, so what it sent and its close lie on its own side. At a moment at which all that had arrived was read, the input counted as read, and the requests that waited for that were started.

Change: after 32 KB, which a client can always send, input counts as read once nothing has arrived for 2 ms.

--- a/hollowhitch/net/connection_reader.py
+++ b/hollowhitch/net/connection_reader.py
@@ -4,7 +4,7 @@
 
 import enum
 import time
-from typing import Any, Protocol
+from typing import Protocol
 
 import gevent
 from gevent import socket
@@ -19,6 +19,7 @@
 from hollowhitch.net.receive_times import Received, Receiver
 from hollowhitch.net.request_queue import MAX_UNREAD_US
 from hollowhitch.net.system_call_errors import RETRY_DELAY_S, ErrorOrigin, SystemCall, error_origin
+from hollowhitch.net.timers import SingleTimer
 from hollowhitch.net.unread import unread_bytes
 from hollowhitch.protocol import frames
 from hollowhitch.protocol.buffer import MIN_FREE_BYTES
@@ -31,6 +32,10 @@
 # noticed within 0.1 s.
 MAX_DELAY_WITH_OPEN_S = 0.05
 DISCARD_INTERVAL_S = 0.05  # seconds between reads of input that is discarded
+# Bytes that a client can always send before this process has to read. If more were read at once, the client
+# may have waited for space, and more of its input may be on its way.
+RECEIVE_WINDOW_BYTES = 32_768
+SETTLE_S = 0.002  # seconds for which nothing more may arrive then, before all input counts as read
 READABLE = 1  # event of the event loop's watchers
 
 
@@ -90,7 +95,9 @@
         self.unusable_frame_count = 0
         self._delayed_frame_count = 0  # unusable frames for which reading was delayed
         self._watcher = gevent.get_hub().loop.io(sock.fileno(), READABLE)
-        self._delay_timer: Any = None  # of the event loop, while reading is paused for a time
+        self._delay_timer = SingleTimer()  # runs while reading is paused for a time
+        self._settle_timer = SingleTimer()  # runs while more input may be on its way
+        self._bytes_read = 0  # since input was unread
         self._is_closed = False
         self._pause_reasons: set[PauseReason] = set()
         self._paused_at_us: int | None = None
@@ -111,7 +118,8 @@
         self._is_closed = True
         self._watcher.stop()
         self._watcher.close()
-        self._stop_delay_timer()
+        self._delay_timer.stop()
+        self._settle_timer.stop()
         self._received = None
         self._scheduler.nothing_to_read(self)
         self._scheduler.requests.input_is_read(self)
@@ -121,17 +129,28 @@
     # When input is read
 
     def _on_readable(self) -> None:
+        self._settle_timer.stop()
         if self._unread_since_us is None:
             self._unread_since_us = self._clock.now_us()
             self._waited_before_us = self._loop_monitor.unpolled_time_us
+            self._bytes_read = 0
             self._scheduler.requests.input_is_unread(self, self._receiver.earliest_unread_us())
-            self._scheduler.has_input(self)
+        self._scheduler.has_input(self)
 
-    def _everything_is_read(self) -> None:
-        self._unread_since_us = None
-        self._reads_late = self._is_reported_late = False
+    def _nothing_is_left(self) -> None:
+        """Note that all that has arrived is read, and whether more may be on its way."""
         self._scheduler.nothing_to_read(self)
-        self._scheduler.requests.input_is_read(self)
+        if self._bytes_read < RECEIVE_WINDOW_BYTES:
+            self._everything_is_read()
+        else:
+            self._settle_timer.start(SETTLE_S, self._everything_is_read)
+
+    def _everything_is_read(self) -> None:
+        self._settle_timer.stop()
+        if self._paused_at_us is None:
+            self._unread_since_us = None
+            self._reads_late = self._is_reported_late = False
+            self._scheduler.requests.input_is_read(self)
 
     def pause(self, reason: PauseReason) -> None:
         """Read nothing until `resume`. Requests of others do not wait for this input meanwhile."""
@@ -159,15 +178,7 @@
 
     def _pause_for(self, seconds: float) -> None:
         self.pause(PauseReason.DELAY)
-        self._stop_delay_timer()
-        self._delay_timer = gevent.get_hub().loop.timer(seconds)
-        self._delay_timer.start(self.resume, PauseReason.DELAY)
-
-    def _stop_delay_timer(self) -> None:
-        if self._delay_timer is not None:
-            self._delay_timer.stop()
-            self._delay_timer.close()
-            self._delay_timer = None
+        self._delay_timer.start(seconds, lambda: self.resume(PauseReason.DELAY))
 
     @property
     def reads_late(self) -> bool:
@@ -233,7 +244,7 @@
         try:
             received = self._receive()
         except BlockingIOError:
-            self._everything_is_read()
+            self._nothing_is_left()
             self._handler.input_read()
             return False
         except OSError as e:
@@ -246,6 +257,7 @@
             self._handler.input_ended()
             return False
         self._received = received
+        self._bytes_read += received.byte_count
         return True
 
     def _receive(self) -> Received:
@@ -302,7 +314,7 @@
         """Read on, wait for more input, or wait for longer if this client's input is unusable."""
         protocol = self._handler.protocol
         if not self._receiver.is_behind:
-            self._everything_is_read()
+            self._nothing_is_left()
         is_unusable = self.unusable_frame_count > self._delayed_frame_count
         self._delayed_frame_count = self.unusable_frame_count
         if protocol.broken or self._handler.discards_input:
--- a/hollowhitch/net/timers.py
+++ b/hollowhitch/net/timers.py
@@ -5,6 +5,7 @@
 import math
 import time
 from collections.abc import Callable
+from typing import Any
 
 import gevent
 
@@ -44,3 +45,27 @@
                 log.event("fault", "a delayed call failed", error=repr(e))
         if (due_s := self._calls.next_due_at()) < self._next_due_s:
             self._arm(due_s)
+
+
+class SingleTimer:
+    """A delayed call of its own timer of the event loop, which runs in the loop's own greenlet."""
+
+    def __init__(self) -> None:
+        self._timer: Any = None  # of the event loop; None: no call is scheduled
+
+    def start(self, delay_s: float, callback: Callable[[], None]) -> None:
+        """Schedule `callback` to run after `delay_s` seconds, in place of the call that is scheduled."""
+        self.stop()
+        self._timer = gevent.get_hub().loop.timer(delay_s)
+        self._timer.start(self._run, callback)
+
+    def stop(self) -> None:
+        """Drop the call that is scheduled, if there is one."""
+        if self._timer is not None:
+            self._timer.stop()
+            self._timer.close()
+            self._timer = None
+
+    def _run(self, callback: Callable[[], None]) -> None:
+        self.stop()
+        callback()
