Read what waited during a stall before requests are ended for it

What callers saw: nothing yet. test_others_are_served_beside_floods_of_small_ requests failed once in a suite beside a soak: two usual requests with 1.8 s left were refused (given_up), by the trace of the proxy's log in the moment after a stall.

Cause: after a stall of the process, unread input of a client may hide a cancellation that is overdue, so an attempt of it was not written, and its requests were ended, although one read tells.

Change: the connection gets a turn then, before its requests are ended.

Test: test_input_that_waited_during_a_stall_is_read_before_requests_are_ended, red before."

--- a/hollowhitch/net/client_connection.py
+++ b/hollowhitch/net/client_connection.py
@@ -453,7 +453,10 @@
 
         Reads alone would tell too late: the close comes after all bytes that the client sent before it.
         """
-        if not self._close_if_client_left() and self.reader.may_hide_cancellation:
+        if self._close_if_client_left():
+            return
+        self.reader.catch_up()
+        if not self.closed and self.reader.may_hide_cancellation:
             self._terminate_queries()
 
     def _close_if_client_left(self) -> bool:
--- a/hollowhitch/net/connection_reader.py
+++ b/hollowhitch/net/connection_reader.py
@@ -201,6 +201,11 @@
             return self._has_been_unread_for(MAX_UNREAD_US - self._waited_before_us)
         return self._clock.now_us() - self._paused_at_us >= MAX_UNREAD_US and unread_bytes(self._sock) > 0
 
+    def catch_up(self) -> None:
+        """Read now if a cancellation may be overdue, as after a stall, in which the input had no turn."""
+        if self.may_hide_cancellation and self._may_read:
+            self._scheduler.read_now(self)
+
     @property
     def has_unhandled_input(self) -> bool:
         """Whether bytes are unread, or complete frames may wait in the buffer."""
--- a/hollowhitch/net/input_scheduler.py
+++ b/hollowhitch/net/input_scheduler.py
@@ -86,7 +86,16 @@
     def _read(self, now_us: int) -> None:
         ends_at_us = now_us + READ_SHARE_US
         while now_us < ends_at_us and (reader := self._readers.next()) is not None:
-            reader.take_turn(self._readers.credit(reader))
-            began_at_us, now_us = now_us, self._clock.now_us()
-            # A turn that costs nothing must not be given again without end.
-            self._readers.charge(reader, max(now_us - began_at_us, 1))
+            now_us = self._give_turn(reader, self._readers.credit(reader), now_us)
+
+    def read_now(self, reader: InputReader) -> None:
+        """Give a reader a turn before the others, which counts as its next one."""
+        self._give_turn(reader, QUANTUM_US, self._clock.now_us())
+
+    def _give_turn(self, reader: InputReader, duration_us: int, began_at_us: int) -> int:
+        """Give a turn, charge it, and return when it ended."""
+        reader.take_turn(duration_us)
+        now_us = self._clock.now_us()
+        # A turn that costs nothing must not be given again without end.
+        self._readers.charge(reader, max(now_us - began_at_us, 1))
+        return now_us
--- a/tests/test_proxy.py
+++ b/tests/test_proxy.py
@@ -28,6 +28,8 @@
 from hollowhitch.metrics import Metrics
 from hollowhitch.net import client_activity, engine_pools, frontend, input_scheduler, turns
 from hollowhitch.net.dial import dial
+from hollowhitch.net.input_scheduler import InputScheduler
+from hollowhitch.net.loop_monitor import LoopMonitor
 from hollowhitch.net.memory_budget import MemoryBudget
 from hollowhitch.net.receive_times import Receiver
 from hollowhitch.net.send_queue import SendQueue
@@ -674,6 +676,24 @@
     assert proxy.frontend.memory.held_bytes == 0
 
 
+# Guards against requests that are ended because input of their client has waited while the process stalled.
+def test_input_that_waited_during_a_stall_is_read_before_requests_are_ended(start_proxy, monkeypatch):
+    proxy, (engine,) = start_proxy(answer_nothing)
+    client = Client(proxy)
+    client.send_request(1)
+    client.send_request(2, ref="00000000000000bb")
+    while len(engine.statements) < 2:
+        gevent.sleep(0.001)
+    (connection,) = proxy.frontend.connections
+    monkeypatch.setattr(InputScheduler, "_run_pass", lambda scheduler: None)
+    monkeypatch.setattr(LoopMonitor, "unpolled_time_us", 1_000_000)
+    client.send(frames.CANCEL, 1)
+    while not connection.reader.may_hide_cancellation:
+        gevent.sleep(0.001)
+    connection.check_client()
+    assert list(connection.queries) == [2]
+
+
 # Guards against engines that are given time which a request has spent in the kernel's queue of connections.
 def test_the_time_in_a_long_queue_of_new_connections_counts(start_proxy, monkeypatch):
     count, interval_s = 20, 0.03
