Count the time in the queue of requests from their read

Change: it counts from the read again; the request's own time still counts from its arrival.

Test: test_a_stall_before_the_read_does_not_count_as_time_in_the_queue, red before."

--- a/hollowhitch/net/client_connection.py
+++ b/hollowhitch/net/client_connection.py
@@ -411,7 +411,9 @@
         if head.allowed_us and received.earliest_at_us + head.allowed_us <= now_us:
             self._answer(event.stream, self.host.reject("overdue"))
             return
-        allowed_us = MAX_QUEUED_US if head.allowed_us is None else min(head.allowed_us, MAX_QUEUED_US)
+        waits_from_us, waits_us = now_us, MAX_QUEUED_US
+        if head.allowed_us is not None and received.earliest_at_us + head.allowed_us < now_us + MAX_QUEUED_US:
+            waits_from_us, waits_us = received.earliest_at_us, head.allowed_us
         reads_late = self.reader.reads_late
         request = self.host.scheduler.requests.add(
             self.reader,
@@ -420,7 +422,7 @@
             lambda: self._start_request(event, received.earliest_at_us, reads_late),
         )
         watchdog = gateway.watch(
-            received.earliest_at_us, allowed_us, lambda: self._refuse_queued(event.stream, "overdue")
+            waits_from_us, waits_us, lambda: self._refuse_queued(event.stream, "overdue")
         )
         self._queued_requests[event.stream] = _QueuedRequest(request, watchdog, now_us)
 
--- a/tests/test_proxy.py
+++ b/tests/test_proxy.py
@@ -32,6 +32,7 @@
 from hollowhitch.net.loop_monitor import LoopMonitor
 from hollowhitch.net.memory_budget import MemoryBudget
 from hollowhitch.net.receive_times import Receiver
+from hollowhitch.net.request_queue import RequestQueue
 from hollowhitch.net.send_queue import SendQueue
 from hollowhitch.net.timers import Timers
 from hollowhitch.protocol import frames
@@ -676,6 +677,22 @@
     assert proxy.frontend.memory.held_bytes == 0
 
 
+# Guards against requests with time left that are refused because the process has stalled before their read.
+def test_a_stall_before_the_read_does_not_count_as_time_in_the_queue(start_proxy, monkeypatch):
+    stall_s, pause_s = 1.2, 0.05
+    proxy, _ = start_proxy(answer_rows)
+    client = Client(proxy)
+    client.send(frames.READINESS_CHECK, 1)
+    client.read_frame()
+    client.send_request(2)
+    time.sleep(stall_s)
+    starts_at, run = time.monotonic() + pause_s, RequestQueue.run
+    monkeypatch.setattr(
+        RequestQueue, "run", lambda queue, us: run(queue, us) if time.monotonic() > starts_at else 0
+    )
+    assert client.read_answer()[:2] == (2, frames.SERVED)
+
+
 # Guards against requests that are ended because input of their client has waited while the process stalled.
 def test_input_that_waited_during_a_stall_is_read_before_requests_are_ended(start_proxy, monkeypatch):
     proxy, (engine,) = start_proxy(answer_nothing)
