Test that a queued request is refused in its time, and drop an unused result

RequestQueue.run returned a count that nobody used, and the queue's length left out requests whose connections have late input.

--- a/hollowhitch/net/request_queue.py
+++ b/hollowhitch/net/request_queue.py
@@ -80,7 +80,7 @@
         return (
             len(self._without_key)
             + len(self._with_key)
-            + sum(len(requests) for requests in self._startable.values())
+            + sum(len(requests) for requests in (*self._startable.values(), *self._late.values()))
         )
 
     def add(
@@ -199,17 +199,15 @@
             del self._waited_for_input[connection]
         return [unread.since_us for unread in self._waited_for_input.values()]
 
-    def run(self, duration_us: int) -> int:
-        """Start requests for about that time, and return how many were started."""
+    def run(self, duration_us: int) -> None:
+        """Start requests for about that time."""
         self._release_in_order()
-        count, now_us = 0, self._clock.now_us()
+        now_us = self._clock.now_us()
         ends_at_us = now_us + duration_us
         while now_us < ends_at_us and (connection := self._fair.next()) is not None:
             self._start(next(iter(self._startable[connection])))
-            count += 1
             began_at_us, now_us = now_us, self._clock.now_us()
             self._fair.charge(connection, now_us - began_at_us)
-        return count
 
     def _start(self, request: QueuedRequest) -> None:
         if request.order_key is not None:
--- a/tests/test_proxy.py
+++ b/tests/test_proxy.py
@@ -677,6 +677,16 @@
     assert proxy.frontend.memory.held_bytes == 0
 
 
+# Guards against a request without an answer in time because its turn to be started does not come.
+def test_a_request_that_is_not_started_is_refused_in_its_time(start_proxy, monkeypatch):
+    proxy, _ = start_proxy(answer_rows)
+    client = Client(proxy)
+    monkeypatch.setattr(RequestQueue, "run", lambda queue, duration_us: None)
+    with gevent.Timeout(0.5):
+        client.send_request(1, allow="40")
+        assert client.read_answer()[:2] == (1, frames.REFUSED)
+
+
 # Guards against requests with time left that are refused because the process has stalled before their read.
 def test_a_stall_before_the_read_does_not_count_as_time_in_the_queue(start_proxy, monkeypatch):
     stall_s, pause_s = 1.2, 0.05
