--- a/review/second/rig.py
+++ b/review/second/rig.py
@@ -497,6 +497,7 @@
 
     The case adds each proxy that it creates to the list; all of them are ended here.
     """
+    signal.signal(signal.SIGTERM, lambda number, frame: sys.exit(NOT_RUN))  # the proxies are ended below
     record = Record(folder / "record.txt")
     proxies: list[Proxy] = []
     with tempfile.TemporaryDirectory() as temporary:
