--- a/review/7/case.py
+++ b/review/7/case.py
@@ -80,7 +80,7 @@
             return
         request = client.ask("table-check", left_s, project="riva-group", **more)
         asked.append(request)
-        await request.done.wait()
+        await asyncio.wait([asyncio.ensure_future(request.done.wait())], timeout=left_s + AFTER_S)
         if request.outcome != "refused":
             return
         more = {"dup": "1"}
--- a/review/8/case.py
+++ b/review/8/case.py
@@ -10,6 +10,7 @@
 from pathlib import Path
 
 from review.second.rig import (
+    END_S,
     TROUBLE,
     Asked,
     CannotRun,
@@ -100,11 +101,11 @@
         await asyncio.wait(tasks)
         await asyncio.sleep(AFTER_S)
         for flood in floods:
-            record.add(f"a bad client connected {flood.communicate()[0].decode().strip()} times")
+            record.add(f"a bad client connected {flood.communicate(timeout=END_S)[0].decode().strip()} times")
     finally:
         for flood in floods:
             flood.kill()
-            flood.wait()
+            flood.wait(END_S)
     watch.cancel()
     if proxy.process is None or proxy.process.poll() is not None:
         record.add("the proxy has ended")
--- a/review/second/rig.py
+++ b/review/second/rig.py
@@ -32,6 +32,7 @@
 STATEMENT = b"select a from sales_1.orders"
 WORDS = {SERVED: "served", REFUSED: "refused", FAILED: "failed"}
 HELD, BROKEN, NOT_RUN = 0, 1, 2  # exit codes of a case
+END_S = 5.0  # seconds that a process has to end after it was killed
 READY_S = 30.0  # seconds that a proxy has until it is ready
 TROUBLE = os.environ.get("TROUBLE", "1") != "0"
 
@@ -393,7 +394,7 @@
         if self.process is not None:
             self.signal(signal.SIGCONT)
             self.signal(signal.SIGKILL)
-            self.process.wait()
+            self.process.wait(END_S)
 
 
 async def call_console(address: str, method: str, path: str, body: str = "") -> int:
@@ -504,7 +505,7 @@
         try:
             held = asyncio.run(asyncio.wait_for(case(record, Path(temporary), proxies), 115))
             code = HELD if held else BROKEN
-        except (CannotRun, OSError, TimeoutError) as e:
+        except (CannotRun, OSError, TimeoutError, subprocess.TimeoutExpired) as e:
             record.add(f"the case could not run: {type(e).__name__}: {e}")
             code = NOT_RUN
         finally:
