Keep the work for one event from growing with the number of engines

Cause: each channel event built the sums, the engines open to each class, the engines in slow start and the partitions anew from all engines, and offered every held query to all of them.

Change: Fleet keeps the records, the engines open to each class and the totals, and changes them by the one engine that an event names. IndexedSet draws a few members without a look at the others. Above 128 engines a partition is decided engine by engine. Slow start and turns end by scheduled calls. Held queries are offered to engines that have come. The feedback leaves out engines at rest. The pools keep sets of the open connections and of the pools to remove. Membership and StartTimes forget old engines without a scan.

Why it works: no loop over all engines is left on these paths, so the time that the 5,760 events of the release take does not depend on the fleet.

--- a/faults/__main__.py
+++ b/faults/__main__.py
@@ -11,6 +11,8 @@
 import typer
 
 from faults import shim
+from faults.fleet_costs import Fleet, measure
+from faults.fleet_costs import as_table as as_cost_table
 from faults.known_failures import known_soak_issues, read_known_failures
 from faults.report import SeedReport, Verdict, as_json, as_table
 from faults.soak import run_and_check_seed, run_seed_in_subprocess
@@ -58,6 +60,17 @@
     typer.echo(as_json([run_seed(seed, seconds, logs, fleet)]))
 
 
+@app.command()
+def costs(
+    engines: Annotated[list[int], typer.Option(help="Numbers of engines.")] = [80, 800, 3200],  # noqa: B006
+    proxies: Annotated[int, typer.Option(help="Number of proxies that share them.")] = 200,
+    cores: Annotated[float, typer.Option(help="Cores of all engines together.")] = 3200.0,
+) -> None:
+    """Print the processor time that a proxy takes for each kind of event, by the number of engines."""
+    fleets = [Fleet(count, proxies, cores / count) for count in engines]
+    typer.echo(as_cost_table([(fleet, measure(fleet)) for fleet in fleets]))
+
+
 def run_seed(seed: int, seconds: float, logs: Path | None, fleet: bool = False) -> SeedReport:
     """Build the fault library, run one seed and return its report.
 
--- a/hollowhitch/net/engine_pools.py
+++ b/hollowhitch/net/engine_pools.py
@@ -5,7 +5,6 @@
 import contextlib
 import functools
 import time
-from collections import deque
 from collections.abc import Callable, Mapping
 
 import gevent
@@ -228,6 +227,12 @@
             ):
                 self.close("nothing comes any more")
 
+    def close_if_idle(self, now_us: int, idle_us: int) -> None:
+        """Close the connection if it has been unused for `idle_us`, or is unused and not needed."""
+        is_unneeded = not self.pool.ready or self.is_retired or self.is_suspect
+        if self.unused and (is_unneeded or now_us - self.last_used_at_us >= idle_us):
+            self.close("")
+
     def close(self, reason: str) -> None:
         """Close the connection and end its attempts.
 
@@ -250,8 +255,7 @@
         with contextlib.suppress(OSError):  # tells the engine at once, as closing waits for the event loop
             self.sock.shutdown(socket.SHUT_RDWR)
         self.sock.close()
-        if self in self.pool.connections:
-            self.pool.connections.remove(self)
+        self.pool.remove(self)
         gateway = self.pool.owner.gateway
         for ref, attempt in list(self.attempts.items()):
             attempt.query.has_lost_connection = attempt.query.has_lost_connection or ref in self.written_refs
@@ -276,11 +280,34 @@
 
     def __init__(self, owner: EnginePools, engine_id: str, address: Address) -> None:
         self.owner, self.engine_id, self.address = owner, engine_id, address
-        self.ready = True
+        self.ready = True  # the engine may be used; changed by `set_ready`
         self.connections: list[EngineConnection] = []
-        self.pending: deque[Attempt] = deque()  # attempts that wait for the connection being dialed
+        self.pending: list[Attempt] = []  # attempts that wait for the connection being dialed
         self.dialing = False  # a connection is being dialed; there is one at a time
 
+    def set_ready(self, ready: bool) -> None:
+        """Note whether the engine may be used. The pool of one that may not is removed once it is empty."""
+        self.ready = ready
+        if ready:
+            self.owner.unready_pools.pop(self, None)
+        else:
+            self.owner.unready_pools[self] = None
+
+    @property
+    def is_empty(self) -> bool:
+        """Whether there is neither a connection nor an attempt that waits for one."""
+        return not self.connections and not self.pending and not self.dialing
+
+    def add(self, connection: EngineConnection) -> None:
+        """Add a connection that was opened."""
+        self.connections.append(connection)
+        self.owner.connections[connection] = None
+
+    def remove(self, connection: EngineConnection) -> None:
+        """Remove a connection that is closed."""
+        self.connections.remove(connection)
+        del self.owner.connections[connection]
+
     def start(self, attempt: Attempt) -> None:
         """Send the attempt on the connection that carries the fewest attempts, dialing another if needed.
 
@@ -308,7 +335,7 @@
             and not self.dialing
             and self.owner.make_room(needed=connection is None)
         ):
-            self.dialing = True
+            self._set_dialing(True)
             gevent.spawn(self._dial)
         if connection is None and self.dialing and not at_limit:
             self.pending.append(attempt)
@@ -318,25 +345,29 @@
                 attempt, Outcome.CONNECT_FAILED if at_limit else Outcome.NEVER_SENT
             )
 
+    def _set_dialing(self, dialing: bool) -> None:
+        self.owner.dialing_count += dialing - self.dialing
+        self.dialing = dialing
+
     def _dial(self) -> None:
         address = self.address
         try:
             sock = dial(address, self.owner.config.dial_timeout_us / 1e6, self.owner.metrics)
         except DialError as e:
             log.event("engine", "connecting failed", engine=self.engine_id, error=e, blame=e.origin.value)
-            self.dialing = False
+            self._set_dialing(False)
             outcome = Outcome.NEVER_SENT if e.origin is ErrorOrigin.LOCAL else Outcome.CONNECT_FAILED
-            pending, self.pending = self.pending, deque()
+            pending, self.pending = self.pending, []
             for attempt in pending:
                 self.owner.gateway.attempt_ended(attempt, outcome)
             return
-        self.dialing = False
+        self._set_dialing(False)
         sock.settimeout(None)
         if address != self.address:  # the engine has moved, and another one may be at the old address now
             sock.close()
         else:
-            self.connections.append(EngineConnection(self, sock))
-        pending, self.pending = self.pending, deque()
+            self.add(EngineConnection(self, sock))
+        pending, self.pending = self.pending, []
         for attempt in pending:
             if not attempt.ended:
                 self.start(attempt)
@@ -355,14 +386,6 @@
             for connection in self.connections:
                 connection.is_retired = True
 
-    def close_idle(self, idle_us: int) -> None:
-        """Close the connections that have been unused for `idle_us`, and unused ones that are not needed."""
-        now_us = self.owner.clock.now_us()
-        for connection in list(self.connections):
-            is_unneeded = not self.ready or connection.is_retired or connection.is_suspect
-            if connection.unused and (is_unneeded or now_us - connection.last_used_at_us >= idle_us):
-                connection.close("")
-
 
 class EnginePools:
     """The pools of all engines; the gateway's `Backend`."""
@@ -384,13 +407,17 @@
         self.loop_monitor, self.lifecycle = loop_monitor, lifecycle
         self.membership, self.audit = membership, audit
         self.expects_reports = config.settings.reports_with_answers  # answers carry load reports
-        self.pools: dict[str, EnginePool] = {}
+        self.pools: dict[str, EnginePool] = {}  # by engine id
+        # Ordered sets: what `sweep` looks at, which is not every pool.
+        self.connections: dict[EngineConnection, None] = {}
+        self.unready_pools: dict[EnginePool, None] = {}
+        self.dialing_count = 0  # pools that are dialing a connection
         self._last_tag = 0
 
     @property
     def connection_count(self) -> int:
         """Number of connections to all engines, including those being dialed."""
-        return sum(len(pool.connections) + pool.dialing for pool in self.pools.values())
+        return len(self.connections) + self.dialing_count
 
     def may_send(self, engine: str, ref: str) -> bool:
         """Return whether a request may be written; the last check before the write.
@@ -413,7 +440,7 @@
         """
         if self.connection_count < self.config.engines_sockets_most:
             return True
-        candidates = [c for pool in self.pools.values() for c in pool.connections] if needed else []
+        candidates = self.connections if needed else ()
         unused = (c for c in candidates if c.unused and c.send_queue.idle)  # a queue may hold an unsent STOP
         if (oldest := min(unused, key=lambda c: c.last_used_at_us, default=None)) is None:
             return False
@@ -453,24 +480,24 @@
             elif pool is not None and address is not None:
                 pool.update_address(address, engine.started_at_us)
             if pool is not None:
-                pool.ready = engine.state is EngineState.READY
+                pool.set_ready(engine.state is EngineState.READY)
         if engines.kind is not ListKind.DELTA:
             for engine_id in self.pools.keys() - listed_ids:
-                self.pools[engine_id].ready = False
+                self.pools[engine_id].set_ready(False)
 
     def run_sweeper(self) -> None:
-        """Sweep for as long as the process runs.
-
-        A sweep closes stalled connections, closes idle ones before the engines do, and removes the pools of
-        engines that are gone.
-        """
+        """Sweep for as long as the process runs."""
         idle_us = int(self.config.keepalive_us * IDLE_CLOSE_SHARE)
         while True:
             gevent.sleep(min(idle_us / SWEEPS_PER_IDLE_TIME, MAX_SWEEP_INTERVAL_US) / 1e6)
-            now_us = self.clock.now_us()
-            for engine_id, pool in list(self.pools.items()):
-                for connection in list(pool.connections):
-                    connection.close_if_stalled(now_us)
-                pool.close_idle(idle_us)
-                if not pool.ready and not pool.connections and not pool.pending and not pool.dialing:
-                    del self.pools[engine_id]
+            self.sweep(idle_us)
+
+    def sweep(self, idle_us: int) -> None:
+        """Close stalled and idle connections, and remove the pools of engines that are gone."""
+        now_us = self.clock.now_us()
+        for connection in list(self.connections):
+            connection.close_if_stalled(now_us)
+            connection.close_if_idle(now_us, idle_us)
+        for pool in [pool for pool in self.unready_pools if pool.is_empty]:
+            del self.unready_pools[pool]
+            del self.pools[pool.engine_id]
--- a/hollowhitch/policy/admission.py
+++ b/hollowhitch/policy/admission.py
@@ -21,6 +21,17 @@
 class Admission(Reports):
     """Checks whether an engine, and the cluster as a whole, can admit a query."""
 
+    def apply_limit_share(self, engine: EngineRecord) -> None:
+        """Set an engine's limit to this gateway's present share of it, unless limits are engine-wide.
+
+        Nothing visits all engines when the share changes, so this is done before a limit is used.
+        """
+        if self.limit_share is None or self.any_engine_wide_limit:
+            return
+        scale = max(1.0, THREADS_PER_CORE * engine.cores * self.limit_share) / engine.limit
+        if scale != 1.0:
+            engine.limit, engine.large_query_limit = engine.limit * scale, engine.large_query_limit * scale
+
     def _slot_charge(self, query: Query, limit: float, large_query_limit: float) -> float:
         """Return CASA's charge in slots, which is at least 1.
 
@@ -76,6 +87,7 @@
 
         The slot limit applies only to congested engines, which also admit no queries of tenants over quota.
         """
+        self.apply_limit_share(engine)
         charge, report = (
             self._slot_charge(query, engine.limit, engine.large_query_limit),
             self._fresh_report(engine),
--- a/hollowhitch/policy/constants.py
+++ b/hollowhitch/policy/constants.py
@@ -55,6 +55,11 @@
 ERROR_SMOOTHING_WEIGHT = 0.3
 # Gain of one step of the feedback.
 FEEDBACK_GAIN = 1.0
+# Smoothed error of the feedback at an engine without load: with a latency ratio of 1, its load is 1 less than
+# at capacity.
+IDLE_FEEDBACK_ERROR = -1.0
+# Deviation of an engine's smoothed values from those without load up to which the feedback leaves it out.
+MAX_DEVIATION_AT_REST = 0.05
 # Period of the feedback.
 FEEDBACK_PERIOD_US = 100_000
 # EWMA weight of one feedback period in this gateway's share of the answered work.
@@ -123,6 +128,12 @@
 CANDIDATE_SAMPLE_SIZE = 6
 # Number of engines that are tried if neither candidate admits a query.
 FALLBACK_SAMPLE_SIZE = 12
+# Number of engines of a small fleet, in which a decision may look at all of them. In a larger one it looks at
+# so many at random.
+SMALL_FLEET_ENGINES = 128
+# Number of engines to which the held queries are offered one by one, when a list brings new engines. If it
+# brings more, the held queries look for engines instead.
+MAX_ENGINES_OFFERED = 4
 # Number of engines with the most recent answers from which candidates are sampled.
 RECENT_ANSWERS_SAMPLED = 8
 # Share of the queries in the smallest cost bin that sample from all engines.
@@ -193,5 +204,7 @@
 # Number of gateways that may send to an engine in slow start at a time, where an even part of its budget
 # would be less than a query.
 SLOW_START_TURNS = 2
+# Number of turns with an engine for which a gateway computes in advance whether they are its own.
+MAX_TURNS_AHEAD = 8
 # Upper bound of the tolerated error of an engine's age, as a share of the time that the slow start takes.
 MAX_AGE_ERROR_SHARE = 0.2
--- a/hollowhitch/policy/control.py
+++ b/hollowhitch/policy/control.py
@@ -18,6 +18,7 @@
     HEADROOM_BUSY_SHARE,
     INITIAL_WORK_TARGET_SHARE,
     LIST_RETRY_US,
+    MAX_ENGINES_OFFERED,
     MAX_WARM_DATA_SETS,
     MIN_OWN_SLOTS,
     PROBE_REPORT_AGE_US,
@@ -27,6 +28,7 @@
     STALL_US,
     THREADS_PER_CORE,
 )
+from hollowhitch.policy.engine_sets import IndexedSet
 from hollowhitch.policy.feedback import Feedback
 from hollowhitch.policy.holding import Holding
 from hollowhitch.policy.interface import EndReason, Outcome
@@ -45,10 +47,8 @@
         super().__init__(settings, seed, BIN_SAMPLE_SIZE, BIN_UPDATE_INTERVAL)
         self.class_records = [ClassRecord(c.target_us * INITIAL_WORK_TARGET_SHARE) for c in settings.classes]
         self.recent_answers = RecentAnswers()
-        # Cached results of `_partition`, by class index and data set; the inner dicts serve as ordered sets.
-        self.partitions: dict[tuple[int, int], dict[EngineRecord, None]] = {}
-        # The engines in slow start with which this gateway has a turn (see `SlowStart._least_turn_draw`).
-        self.engines_on_our_turn: list[EngineRecord] = []
+        # Cached results of `_partition` in a small fleet, by class index and data set.
+        self.partitions: dict[tuple[int, int], IndexedSet[EngineRecord]] = {}
 
     def handle(self, now_us: int, event: api.Event) -> list[api.Action]:
         """Handle an event that happens at `now_us`, and return the actions to carry out, in order."""
@@ -129,7 +129,7 @@
         if outcome is Outcome.OK:
             engine.release(attempt)
             engine.locked_until_us.pop(query.data_set, None)
-            engine.failure_share -= FAILURE_WEIGHT * engine.failure_share
+            self.fleet.set_failure_share(engine, (1 - FAILURE_WEIGHT) * engine.failure_share)
             for failed_engine in query.failed_engines:
                 self._count_failure(failed_engine)
             self.served_work_us += attempt.work_us
@@ -144,14 +144,7 @@
             if engine.ejected_until_us and (
                 engine.trial_attempt is attempt or engine.failure_share < EJECTION_FAILURE_SHARE
             ):
-                engine.ejected_until_us, engine.trial_attempt, engine.failure_share, engine.failed_trials = (
-                    0,
-                    None,
-                    0.0,
-                    0,
-                )
-                self.actions.append(api.HealthChanged(engine.info.id, "reinstated", "answered"))
-                self._update_ejections_ignored()
+                self._reinstate(engine)
             return
         charge_kept_for_us = (
             0
@@ -193,11 +186,18 @@
             self.schedule.schedule(
                 self.now_us + (0 if is_first else LIST_RETRY_US), self.add_action, api.Subscribe()
             )
-        self.apply_list(event)
-        self.partitions.clear()
-        self._update_turns()
+        opened = self.apply_list(event)
         self._update_ejections_ignored()
-        self.send_held()
+        if event.kind is not api.ListKind.DELTA or len(opened) > MAX_ENGINES_OFFERED:
+            self.send_held()
+            return
+        for engine in opened:
+            self.send_held(engine)
+
+    def on_engine_changed(self, engine: EngineRecord) -> None:
+        """Update the partitions and the slow start."""
+        self.partitions.clear()
+        self._follow_slow_start(engine)
 
     def new_engine_record(
         self, info: api.Engine, cores: float | None, memory_mb: float | None
--- a/hollowhitch/policy/feedback.py
+++ b/hollowhitch/policy/feedback.py
@@ -11,12 +11,13 @@
     ERROR_SMOOTHING_WEIGHT,
     FEEDBACK_GAIN,
     FEEDBACK_PERIOD_US,
+    IDLE_FEEDBACK_ERROR,
+    MAX_DEVIATION_AT_REST,
     MEMORY_SHARE_SOFT_LIMIT,
     MIN_SERVICE_RATE_SHARE,
     OFFERED_SHARE_WEIGHT,
     QUOTA_FACTOR,
     SERVICE_RATE_WEIGHT,
-    THREADS_PER_CORE,
 )
 from hollowhitch.policy.records import EngineRecord
 from hollowhitch.policy.retries import Retries
@@ -30,17 +31,27 @@
         # The next period is scheduled first, so that an exception in this one does not end the feedback.
         self.schedule.schedule(self.now_us + FEEDBACK_PERIOD_US, self._run_feedback, None)
         self._update_shares()
-        for engine in list(self.active_engines.values()):
+        for engine in list(self.active_engines):
             self._update_large_query_limit(engine)
             self._check_silence(engine)
-            if (
-                self.any_engine_wide_limit
-                and not engine.queries_in_flight
-                and self._fresh_report(engine) is None
-            ):
-                del self.active_engines[engine.info.id]
+            if self._is_at_rest(engine):
+                self.active_engines.discard(engine)
         self.send_held()
 
+    def _is_at_rest(self, engine: EngineRecord) -> bool:
+        """Return whether further periods of the feedback would change nothing at an engine."""
+        if engine.queries_in_flight or self._fresh_report(engine) is not None:
+            return False
+        if self.any_engine_wide_limit:
+            return True
+        deviation = max(
+            engine.holds_per_s,
+            engine.sends_per_s,
+            abs(engine.latency_ratio_log),
+            abs(engine.feedback_error - IDLE_FEEDBACK_ERROR),
+        )
+        return deviation < MAX_DEVIATION_AT_REST and not engine.used_slots
+
     def _update_shares(self) -> None:
         """Update this gateway's shares of the answered and the offered work, and the limits based on them.
 
@@ -49,7 +60,7 @@
         """
         reports = [
             (engine, report)
-            for engine in self.active_engines.values()
+            for engine in self.active_engines
             if (report := self._fresh_report(engine)) is not None
         ]
         busy_cores, reporting_cores = (
@@ -86,9 +97,9 @@
             bucket.share = min(1.0, QUOTA_FACTOR * share)
         self._update_turns()
         self.cluster_rates.smooth(ERROR_SMOOTHING_WEIGHT, FEEDBACK_PERIOD_US)
-        for engine in () if self.any_engine_wide_limit else self.engines.values():
-            scale = max(1.0, THREADS_PER_CORE * engine.cores * share) / engine.limit
-            engine.limit, engine.large_query_limit = engine.limit * scale, engine.large_query_limit * scale
+        self.limit_share = share
+        for engine in self.active_engines:
+            self.apply_limit_share(engine)
 
     def _update_large_query_limit(self, engine: EngineRecord) -> None:
         """Move an engine's limit for large queries by the smoothed error of the feedback.
--- a/hollowhitch/policy/health.py
+++ b/hollowhitch/policy/health.py
@@ -40,7 +40,7 @@
 
     def _eject(self, engine: EngineRecord, reason: str) -> None:
         """Eject an engine until its next trial, for twice as long after each failed trial."""
-        if engine.ejected_until_us and engine.trial_attempt is None:
+        if (engine.ejected_until_us and engine.trial_attempt is None) or not self.fleet.is_listed(engine):
             return
         self.actions.append(api.HealthChanged(engine.info.id, "ejected", reason))
         engine.failed_trials += engine.trial_attempt is not None
@@ -48,12 +48,20 @@
             self.now_us + min(EJECTION_US * 2**engine.failed_trials, MAX_EJECTION_US),
             None,
         )
+        self.fleet.ejected.add(engine)
+        self._update_ejections_ignored()
+
+    def _reinstate(self, engine: EngineRecord) -> None:
+        """Use an ejected engine again, as if it had never failed."""
+        engine.ejected_until_us, engine.trial_attempt, engine.failed_trials = 0, None, 0
+        self.fleet.set_failure_share(engine, 0.0)
+        self.fleet.ejected.discard(engine)
+        self.actions.append(api.HealthChanged(engine.info.id, "reinstated", "answered"))
         self._update_ejections_ignored()
 
     def _update_ejections_ignored(self) -> None:
         """Use all engines if too many are ejected, since the failures probably have a common cause then."""
-        ejected_count = sum(engine.ejected_until_us > 0 for engine in self.engines.values())
-        self.ejections_ignored = ejected_count > MAX_EJECTED_SHARE * len(self.engines)
+        self.ejections_ignored = len(self.fleet.ejected) > MAX_EJECTED_SHARE * len(self.engines)
 
     def _count_failure(self, engine: EngineRecord) -> None:
         """Count a failure, and eject the engine if it fails clearly more often than the others.
@@ -61,9 +69,11 @@
         The comparison guards against ejections because of answers that are lost or corrupted on the network,
         which affects all engines alike.
         """
-        engine.failure_share += FAILURE_WEIGHT * (1 - engine.failure_share)
-        other_shares = [other.failure_share for other in self.engines.values() if other is not engine]
-        if engine.failure_share > EJECTION_FAILURE_SHARE + EJECTION_OTHERS_FACTOR * sum(other_shares) / max(
-            len(other_shares), 1
-        ):
+        if not self.fleet.is_listed(engine):
+            return
+        self.fleet.set_failure_share(
+            engine, engine.failure_share + FAILURE_WEIGHT * (1 - engine.failure_share)
+        )
+        others_share = self.fleet.mean_failure_share_of_others(engine)
+        if engine.failure_share > EJECTION_FAILURE_SHARE + EJECTION_OTHERS_FACTOR * others_share:
             self._eject(engine, "failures")
--- a/hollowhitch/policy/holding.py
+++ b/hollowhitch/policy/holding.py
@@ -62,7 +62,7 @@
             self.schedule_next_of_key(query.order_key)
         elif self.engines_for_class[query.class_index]:
             # Every query that is held counts, also one behind an older query of its group.
-            self.count_hold(self.rng.choice(list(self.engines_for_class[query.class_index])))
+            self.count_hold(self.engines_for_class[query.class_index].choose(self.rng))
         # Under lasting overload all held queries would age together and be answered late. So those with the
         # least worth per work are refused, which does harm if the estimates rank them wrongly. Where limits
         # are engine-wide, one query always stays held.
--- a/hollowhitch/policy/membership.py
+++ b/hollowhitch/policy/membership.py
@@ -12,6 +12,7 @@
 from __future__ import annotations
 
 import dataclasses
+from collections import OrderedDict
 from collections.abc import Mapping
 from dataclasses import dataclass
 
@@ -38,6 +39,7 @@
         self._addresses: dict[str, Address] = {}
         self._disabled_at_us: dict[str, int] = {}
         self._latest_start_at_us: dict[str, int] = {}  # of engines that were disabled and enabled
+        self._gone_ids: OrderedDict[str, None] = OrderedDict()  # the one that has gone for longest first
 
     def is_disabled(self, engine_id: str) -> bool:
         """Return whether an operator has disabled an engine."""
@@ -48,8 +50,10 @@
         if engines.kind not in (ListKind.DELTA, ListKind.FAILED):
             self._mark_unlisted_gone(engines)
         for engine in engines.engines:
-            self._listed_engines.pop(engine.id, None)
             self._listed_engines[engine.id] = engine
+            self._gone_ids.pop(engine.id, None)
+            if engine.state is EngineState.GONE:
+                self._gone_ids[engine.id] = None
         self._addresses.update(addresses)
         displaced_ids = self._address_owners.apply(engines, addresses)
         self._forget_gone()
@@ -96,24 +100,27 @@
     def _mark_unlisted_gone(self, engines: EngineList) -> None:
         """Mark the engines as gone that a complete list does not name."""
         listed_ids = {engine.id for engine in engines.engines}
-        for engine_id in self._listed_engines.keys() - listed_ids:
+        for engine_id in self._listed_engines.keys() - listed_ids - self._gone_ids.keys():
             self._listed_engines[engine_id] = dataclasses.replace(
                 self._listed_engines[engine_id], state=EngineState.GONE
             )
+            self._gone_ids[engine_id] = None
             self._address_owners.forget(engine_id)
 
     def _forget_gone(self) -> None:
-        """Forget engines that are gone beyond MAX_ENGINES, first those that were listed longest ago."""
-        if len(self._listed_engines) <= MAX_ENGINES:
-            return
-        gone_ids = [
-            engine_id for engine_id, engine in self._listed_engines.items() if self._may_forget(engine)
-        ]
-        for engine_id in gone_ids[: len(self._listed_engines) - MAX_ENGINES]:
+        """Forget engines that are gone beyond MAX_ENGINES, first those that have gone for longest.
+
+        Those that an operator has disabled are kept.
+        """
+        disabled_ids: list[str] = []
+        while len(self._listed_engines) > MAX_ENGINES and self._gone_ids:
+            engine_id, _ = self._gone_ids.popitem(last=False)
+            if engine_id in self._disabled_at_us:
+                disabled_ids.append(engine_id)
+                continue
             del self._listed_engines[engine_id]
             self._addresses.pop(engine_id, None)
             self._address_owners.forget(engine_id)
             self._latest_start_at_us.pop(engine_id, None)
-
-    def _may_forget(self, engine: Engine) -> bool:
-        return engine.state is EngineState.GONE and engine.id not in self._disabled_at_us
+        for engine_id in disabled_ids:  # looked at again when they may have been enabled
+            self._gone_ids[engine_id] = None
--- a/hollowhitch/policy/records.py
+++ b/hollowhitch/policy/records.py
@@ -230,13 +230,17 @@
         `gateway_count` gateways. So all gateways agree without communicating.
         """
         if turns != self.drawn_turns:
-            draws = [zlib.crc32(f"{n} {self.info.id}".encode()) for n in turns]
+            draws = [self.turn_hash(n) for n in turns]
             self.drawn_turns = turns
             self.turn_draw = min(
                 (d / 2**32 for d in draws if d % gateway_count == gateway_index), default=math.inf
             )
         return self.turn_draw
 
+    def turn_hash(self, turn_number: int) -> int:
+        """Return a number below 2**32, which all gateways compute alike."""
+        return zlib.crc32(f"{turn_number} {self.info.id}".encode())
+
     def attempt_sent(self, query: Query, attempt: Attempt, slow_start_work_us: float) -> None:
         """Record an attempt that is being sent; `slow_start_work_us` counts against the slow-start budget."""
         query.attempts.append(attempt)
--- a/hollowhitch/policy/reports.py
+++ b/hollowhitch/policy/reports.py
@@ -34,7 +34,7 @@
     def _receive_report(self, engine: EngineRecord, report: api.LoadReport | None) -> None:
         """Apply a load report to the engine's record and to the averages over all engines."""
         engine.update_report(report, self.now_us)
-        if report is not None and engine.has_engine_wide_limit:
+        if report is not None:
             self._activate(engine)
         # The averages stand in for the reports of engines without a fresh one.
         if report is not None and engine.has_engine_wide_limit and not self.in_slow_start(engine):
@@ -118,18 +118,15 @@
         """Add an engine to the active ones, the only ones that the feedback visits.
 
         The engine's latency ratio decays towards the average for the time that the engine was inactive. After
-        more than MAX_REPORT_AGE_US, the engine's limit for large queries is set to the average too.
+        more than MAX_REPORT_AGE_US, an engine-wide limit for large queries is set to the average too.
         """
-        if engine.info.id not in self.active_engines:
-            self.active_engines[engine.info.id] = engine
-            engine.latency_ratio_log = self._decayed_latency_ratio_log(
-                engine, (self.now_us - engine.last_feedback_at_us) / FEEDBACK_PERIOD_US
-            )
-            engine.large_query_limit = (
-                max(1.0, self.mean_large_query_limit_share * engine.limit)
-                if self.now_us - engine.last_feedback_at_us > MAX_REPORT_AGE_US
-                else engine.large_query_limit
-            )
+        if engine in self.active_engines or not self.fleet.is_listed(engine):
+            return
+        self.active_engines.add(engine)
+        inactive_us = self.now_us - engine.last_feedback_at_us
+        engine.latency_ratio_log = self._decayed_latency_ratio_log(engine, inactive_us / FEEDBACK_PERIOD_US)
+        if engine.has_engine_wide_limit and inactive_us > MAX_REPORT_AGE_US:
+            engine.large_query_limit = max(1.0, self.mean_large_query_limit_share * engine.limit)
 
     def _decayed_latency_ratio_log(self, engine: EngineRecord, periods: float) -> float:
         """Return the log of an engine's latency ratio after it has decayed for `periods` feedback periods."""
--- a/hollowhitch/policy/retries.py
+++ b/hollowhitch/policy/retries.py
@@ -15,6 +15,7 @@
     MAX_SHORTAGE_LOG,
     OVERDUE_FACTOR,
     SILENCE_US,
+    SMALL_FLEET_ENGINES,
     SPILL_WEIGHT,
     STUCK_FACTOR,
     STUCK_TARGET_SHARE,
@@ -65,7 +66,7 @@
         )
         other_engines = (
             engine
-            for engine in self._partition(query)
+            for engine in self._partition(query).scan(self.rng, SMALL_FLEET_ENGINES)
             if engine is not attempt.engine and self._may_use(engine, query)
         )
         if retry_done_at_us < due_at_us and any(
@@ -121,7 +122,7 @@
             self.cluster_latency_ratio_log += (
                 LATENCY_RATIO_WEIGHT
                 * max(ratio_log - self.cluster_latency_ratio_log, 0)
-                / len(self.active_engines)
+                / len(self.active_engines if self.any_engine_wide_limit else self.engines)
             )
         (_, number), query = next(iter(engine.queries_in_flight.items()))
         if self.now_us - engine.last_response_at_us >= SILENCE_US and self.now_us - query.attempts[
--- a/hollowhitch/policy/routing.py
+++ b/hollowhitch/policy/routing.py
@@ -2,8 +2,9 @@
 
 from __future__ import annotations
 
+import itertools
 import math
-import zlib
+from collections.abc import Iterable, Iterator
 
 from hollowhitch.policy import interface as api
 from hollowhitch.policy.admission import Admission
@@ -16,8 +17,10 @@
     MAX_PARTITIONS,
     MIN_PARTITIONED_ENGINES,
     RECENT_ANSWERS_SAMPLED,
+    SMALL_FLEET_ENGINES,
     WARM_WORK_SHARE,
 )
+from hollowhitch.policy.engine_sets import EngineChoices, HashedHalf, IndexedSet, data_set_hash
 from hollowhitch.policy.health import Health
 from hollowhitch.policy.interface import RetrySafety
 from hollowhitch.policy.records import Attempt, EngineRecord, Query
@@ -58,107 +61,143 @@
         """Send a query if an engine (or `only_engine`) admits it, and return whether it was sent."""
         if not self.may_attempt(query):
             return False
-        permitted, partition = self.engines_for_class[query.class_index], self._partition(query)
+        permitted = self.engines_for_class[query.class_index]
         if not self._cluster_fits(query):  # the limit does not count engines in slow start
-            permitted = {engine: None for engine in self.engines_on_our_turn if engine in permitted}
-        if only_engine is not None:
-            permitted = [only_engine] if only_engine in permitted and only_engine in partition else []
-        for choices in (query.candidates, partition, permitted) if only_engine is None else (permitted,):
-            if len(choices) > FALLBACK_SAMPLE_SIZE:
-                choices = self.rng.sample(list(choices), FALLBACK_SAMPLE_SIZE)
+            permitted = self._on_our_turn(permitted)
+        for engines in self._engines_to_try(query, permitted, only_engine):
+            # A query that would be blocked is held instead, and takes the first engine that becomes free.
             eligible = [
                 engine
-                for engine in choices
-                if engine in permitted and self._may_use(engine, query) and self._admits(engine, query)
+                for engine in engines
+                if engine in permitted
+                and self._may_use(engine, query)
+                and self._admits(engine, query)
+                and not self._is_blocked(engine, query)
             ]
-            # A query that would be blocked is held instead, and takes the first engine that becomes free.
-            eligible = [engine for engine in eligible if not self._is_blocked(engine, query)]
             if eligible:
                 # Many gateways would all send to the least busy engine at once, so only two are compared.
-                return self._send_attempt(
-                    query,
-                    min(
-                        eligible[:2] if self.any_engine_wide_limit else eligible,
-                        key=lambda engine: self._score(engine, query),
-                    ),
-                )
+                compared = eligible[:2] if self.any_engine_wide_limit else eligible
+                return self._send_attempt(query, min(compared, key=lambda engine: self._score(engine, query)))
         return False
 
-    def _partition(self, query: Query) -> dict[EngineRecord, None]:
+    def _engines_to_try(
+        self, query: Query, permitted: IndexedSet[EngineRecord], only_engine: EngineRecord | None
+    ) -> Iterator[Iterable[EngineRecord]]:
+        """Yield groups of engines, of which the first with an eligible engine is used."""
+        partition = self._partition(query)
+        if only_engine is not None:
+            yield [only_engine] if only_engine in partition else []
+            return
+        yield query.candidates
+        yield partition.scan(self.rng, FALLBACK_SAMPLE_SIZE)
+        yield permitted.scan(self.rng, FALLBACK_SAMPLE_SIZE)
+
+    def _on_our_turn(self, engines: IndexedSet[EngineRecord]) -> IndexedSet[EngineRecord]:
+        """Return those engines with which this gateway has a turn, in a large fleet not all of them."""
+        on_our_turn = self.engines_on_our_turn.scan(self.rng, SMALL_FLEET_ENGINES)
+        return IndexedSet(engine for engine in on_our_turn if engine in engines)
+
+    def _partition(self, query: Query) -> EngineChoices:
         """Return the engines that a query may use if it is a bulk load or waits for bulk loads.
 
         This departs from CASA: queries that a bulk load blocks miss their targets, and the bulk loads of
         other gateways are unknown. So all gateways send the bulk loads of a data set to the same half of the
-        engines, and the queries that wait for bulk loads to the other half.
+        engines, and the queries that wait for bulk loads to the other half. In a large fleet the halves are
+        only about equal: to rank all engines would take too long for a query in a new data set.
         """
         permitted = self.engines_for_class[query.class_index]
+        is_bulk_load = query.query_class.is_bulk_load
         if len(permitted) < MIN_PARTITIONED_ENGINES or not (
-            query.query_class.is_bulk_load or query.query_class.waits_for_bulk_loads
+            is_bulk_load or query.query_class.waits_for_bulk_loads
         ):
             return permitted
-        if (query.class_index, query.data_set) not in self.partitions:
+        if len(permitted) > SMALL_FLEET_ENGINES:
+            return HashedHalf(permitted, query.data_set, is_low_half=is_bulk_load)
+        key = query.class_index, query.data_set
+        if key not in self.partitions:
             if len(self.partitions) >= MAX_PARTITIONS:
                 self.partitions.clear()
-            ranked = sorted(
-                permitted, key=lambda engine: zlib.crc32(f"{query.data_set} {engine.info.id}".encode())
-            )
-            half = len(permitted) // 2
-            # Gateways start at different engines, so that their bulk loads rarely meet.
-            start = self.settings.gateway_index % half
-            bulk_load_half = ranked[start:half] + ranked[:start]
-            self.partitions[query.class_index, query.data_set] = dict.fromkeys(
-                bulk_load_half if query.query_class.is_bulk_load else ranked[half:]
-            )
-        return self.partitions[query.class_index, query.data_set]
+            self.partitions[key] = self._ranked_half(permitted, query.data_set, is_bulk_load)
+        return self.partitions[key]
+
+    def _ranked_half(
+        self, engines: IndexedSet[EngineRecord], data_set: int, is_low_half: bool
+    ) -> IndexedSet[EngineRecord]:
+        """Return half of the engines, those whose hash with a data set is low or high."""
+        ranked = sorted(engines, key=lambda engine: data_set_hash(data_set, engine))
+        half = len(ranked) // 2
+        if not is_low_half:
+            return IndexedSet(ranked[half:])
+        # Gateways start at different engines, so that their bulk loads rarely meet.
+        start = self.settings.gateway_index % half
+        return IndexedSet(ranked[start:half] + ranked[:start])
 
     def _sample_candidates(self, query: Query) -> list[EngineRecord]:
         """Return up to two engines to try first for a query."""
         partition = self._partition(query)
         if self.any_engine_wide_limit:
-            # This departs from CASA: this gateway has no work at most engines, and all gateways would choose
-            # an engine whose report shows headroom. So it samples from engines that have answered and that it
-            # has sent nothing to since: an engine that stalls gets no more. Engines in slow start come first.
-            # Without exploration, engines that have recovered would not be found.
-            explores = not query.bins[0] and self.rng.random() < EXPLORATION_SHARE
-            reporting = [
-                engine
-                for engine in self.active_engines.values()
-                if self._fresh_report(engine) and not explores
-            ]
-            for choices in (
-                self.engines_on_our_turn,
-                self.recent_answers.engines_since(self.now_us - MAX_ANSWER_AGE_US)[:RECENT_ANSWERS_SAMPLED],
-                reporting,
-            ):
-                if eligible := [
-                    engine for engine in choices if engine in partition and self._may_use(engine, query)
-                ]:
-                    return self.rng.sample(eligible, min(2, len(eligible)))
+            candidates = self._sample_known_engines(query, partition)
+            if candidates:
+                return candidates
         elif query.query_class.is_bulk_load:
-            # Another bulk load of this gateway would block this one. So engines without one are preferred,
-            # even to engines of the partition.
-            usable = [
-                engine for engine in self.engines_for_class[query.class_index] if self._may_use(engine, query)
-            ]
-            usable_partition, unblocked = (
-                [engine for engine in partition if engine in usable],
-                [engine for engine in usable if not self._is_blocked(engine, query)],
-            )
-            return (
-                [engine for engine in usable_partition if engine in unblocked]
-                or unblocked
-                or usable_partition
-            )[:2]
-        choices = [
-            engine
-            for engine in self.rng.sample(list(partition), min(CANDIDATE_SAMPLE_SIZE, len(partition)))
-            if self._may_use(engine, query)
-        ]
-        return (
-            choices[:2]
-            if len(choices) > 1
-            else [engine for engine in partition if self._may_use(engine, query)][:2]
+            return self._bulk_load_candidates(query, partition)
+        sample = partition.in_random_order(self.rng, CANDIDATE_SAMPLE_SIZE)
+        candidates = self._first_two(engine for engine in sample if self._may_use(engine, query))
+        if len(candidates) == 2:
+            return candidates
+        scanned = partition.scan(self.rng, SMALL_FLEET_ENGINES)
+        return self._first_two(engine for engine in scanned if self._may_use(engine, query))
+
+    def _sample_known_engines(self, query: Query, partition: EngineChoices) -> list[EngineRecord]:
+        """Return up to two of the engines whose load this gateway knows, where limits are engine-wide.
+
+        This departs from CASA: this gateway has no work at most engines, and all gateways would choose an
+        engine whose report shows headroom. So it samples from engines that have answered and that it has sent
+        nothing to since: an engine that stalls gets no more. Engines in slow start come first. Without
+        exploration, engines that have recovered would not be found.
+        """
+        explores = not query.bins[0] and self.rng.random() < EXPLORATION_SHARE
+        answered = IndexedSet(
+            self.recent_answers.engines_since(self.now_us - MAX_ANSWER_AGE_US)[:RECENT_ANSWERS_SAMPLED]
         )
+        reporting = () if explores else self._reporting_engines()
+        for engines in (
+            self.engines_on_our_turn.in_random_order(self.rng, SMALL_FLEET_ENGINES),
+            answered.in_random_order(self.rng, RECENT_ANSWERS_SAMPLED),
+            reporting,
+        ):
+            candidates = self._first_two(
+                engine for engine in engines if engine in partition and self._may_use(engine, query)
+            )
+            if candidates:
+                return candidates
+        return []
+
+    def _reporting_engines(self) -> Iterator[EngineRecord]:
+        """Yield engines with a fresh report in random order, in a large fleet not all of them."""
+        active = self.active_engines.in_random_order(self.rng, SMALL_FLEET_ENGINES)
+        return (engine for engine in active if self._fresh_report(engine))
+
+    def _bulk_load_candidates(self, query: Query, partition: EngineChoices) -> list[EngineRecord]:
+        """Return up to two engines to try first for a bulk load.
+
+        Another bulk load of this gateway would block this one. So engines without one are preferred, even to
+        engines of the partition.
+        """
+        permitted = self.engines_for_class[query.class_index]
+        for engines, may_be_blocked in ((partition, False), (permitted, False), (partition, True)):
+            candidates = self._first_two(
+                engine
+                for engine in engines.scan(self.rng, SMALL_FLEET_ENGINES)
+                if self._may_use(engine, query) and (may_be_blocked or not self._is_blocked(engine, query))
+            )
+            if candidates:
+                return candidates
+        return []
+
+    @staticmethod
+    def _first_two(engines: Iterable[EngineRecord]) -> list[EngineRecord]:
+        return list(itertools.islice(engines, 2))
 
     def _send_attempt(self, query: Query, engine: EngineRecord) -> bool:
         """Send an attempt of a query to an engine; always return True, the result of `_try_send`."""
--- a/hollowhitch/policy/start_times.py
+++ b/hollowhitch/policy/start_times.py
@@ -13,6 +13,7 @@
 
 import dataclasses
 import math
+from collections import OrderedDict
 from collections.abc import Callable
 from dataclasses import dataclass
 
@@ -47,7 +48,7 @@
         self._process_started_at_us = process_started_at_us
         self._to_clock = to_clock
         self._tolerated_age_error_us = tolerated_age_error_us
-        self._starts: dict[str, EngineStart] = {}
+        self._starts: OrderedDict[str, EngineStart] = OrderedDict()  # the one listed first first
         self._min_apparent_age_us = math.inf
 
     def translate(self, engines: EngineList, now_us: int, received_live: bool) -> EngineList:
@@ -86,7 +87,7 @@
             self._starts.pop(engine.id, None)
             self._starts[engine.id] = start
             if len(self._starts) > MAX_ENGINES:
-                del self._starts[next(iter(self._starts))]
+                self._starts.popitem(last=False)
         return dataclasses.replace(
             engine, started_at_us=start.started_at_us, latest_start_at_us=start.latest_start_at_us
         )
--- a/hollowhitch/policy/state.py
+++ b/hollowhitch/policy/state.py
@@ -20,6 +20,8 @@
 
 from hollowhitch.policy import interface as api
 from hollowhitch.policy.containers import EqualSumBins, RollingSum, Schedule, TokenBucket
+from hollowhitch.policy.engine_sets import IndexedSet
+from hollowhitch.policy.fleet import CoreCount, Fleet
 from hollowhitch.policy.key_order import KeyOrder
 from hollowhitch.policy.queues import HeldQueries
 from hollowhitch.policy.records import Attempt, EngineRecord, HoldSendRates, Query
@@ -45,10 +47,10 @@
         self.actions: list[api.Action] = []
         self.kinds_by_name = {k.name: k for k in settings.kinds}
         self.class_index = {c.name: i for i, c in enumerate(settings.classes)}
-        self.engines: dict[str, EngineRecord] = {}
-        self.active_engines: dict[str, EngineRecord] = {}  # the engines that the feedback updates
-        # Engines open to each class, by class index; the dicts serve as ordered sets.
-        self.engines_for_class: list[dict[EngineRecord, None]] = [{} for _ in settings.classes]
+        self.fleet = Fleet(settings.classes)
+        self.engines = self.fleet.engines  # by id
+        self.engines_for_class = self.fleet.engines_for_class  # engines open to each class, by class index
+        self.active_engines: IndexedSet[EngineRecord] = IndexedSet()  # the engines that the feedback updates
         self.queries: dict[str, Query] = {}
         self.held_queries, self.key_order, self.schedule = HeldQueries(), KeyOrder(), Schedule()
         self.arrivals, self.retries = (RollingSum(settings.rules.retry_budget_window_us) for _ in range(2))
@@ -63,10 +65,11 @@
         tenant_quotas = [(t.name, t.quota_per_s) for t in settings.tenants]
         self.quotas = {name: TokenBucket(per_s, self.even_share) for name, per_s in tenant_quotas if per_s}
         self.cluster_rates = HoldSendRates()
-        # Whether any engine's limit is engine-wide; cores of all engines; cores of those not in slow start.
-        self.any_engine_wide_limit, self.cluster_cores, self.warmed_up_cores = False, 1.0, 1.0
-        self.slow_start_engines: list[EngineRecord] = []  # the ready engines that are in slow start
+        self.any_engine_wide_limit = False  # whether any engine's limit is engine-wide
+        self.slow_start_cores = CoreCount()  # of the ready engines that are in slow start
         self.served_work_us = self.offered_work_us = 0.0  # answered and new work in this feedback period
+        # The share of each engine's slots that this gateway may use; None: still its even share.
+        self.limit_share: float | None = None
         self.service_rate = 1e6  # work answered per second, smoothed
         # `unloaded_latency_ratio_log` is the mean of the log of latency over the best latency at engines with
         # headroom; the other latency ratios are relative to it. `cluster_slots` is what the attempts in
@@ -131,6 +134,10 @@
         """Apply a list of engines; `is_first` is whether it is the first one."""
         raise NotImplementedError
 
+    def on_engine_changed(self, engine: EngineRecord) -> None:
+        """Update what depends on an engine that was added, removed, or has a new entry in the list."""
+        raise NotImplementedError
+
     def new_engine_record(
         self, info: api.Engine, cores: float | None, memory_mb: float | None
     ) -> EngineRecord:
@@ -222,11 +229,15 @@
             self.now_us - self.settings.rules.slow_start_us, 0
         )
 
-    def update_slow_start_engines(self) -> None:
-        """Update which engines are in slow start; the limit over all engines does not count their cores."""
-        ready = [e for e in self.engines.values() if e.info.state is api.EngineState.READY]
-        self.slow_start_engines = [e for e in ready if self.in_slow_start(e)]
-        self.warmed_up_cores = sum(e.cores for e in ready) - sum(e.cores for e in self.slow_start_engines)
+    @property
+    def cluster_cores(self) -> float:
+        """Cores of all engines; 1 if there is none."""
+        return self.fleet.cores.total or 1.0
+
+    @property
+    def warmed_up_cores(self) -> float:
+        """Cores of the ready engines that are not in slow start; the limit over all engines counts these."""
+        return self.fleet.ready_cores.total - self.slow_start_cores.total
 
     def has_retry_budget(self) -> bool:
         """Return whether the retry budget allows one more retry (rule 7).
@@ -326,6 +337,8 @@
 
     def count_hold(self, engine: EngineRecord) -> None:
         """Count, for the feedback, a query that is held because an engine lacks capacity."""
+        if not engine.has_engine_wide_limit:
+            self.active_engines.add(engine)
         engine.hold_count += 1
         self.cluster_rates.hold_count += 1
 
@@ -463,11 +476,8 @@
             self.held_queries.remove(query)
             self.place_or_hold(query)
 
-    def apply_list(self, event: api.EngineList) -> None:
-        """Apply a list to the records of the engines, and update which engines are open to each class.
-
-        An engine that has restarted gets a new record, which keeps the work sent in slow start.
-        """
+    def apply_list(self, event: api.EngineList) -> list[EngineRecord]:
+        """Apply a list to the records of the engines; return those that have become ready to be used."""
         failed = event.kind is api.ListKind.FAILED
         if not failed or self.subscribed:
             self.listed_at_us = self.now_us
@@ -475,39 +485,46 @@
         if self.settings.subscribes_to_list:
             self.subscribed = not failed and event.kind is not api.ListKind.CACHED
         if failed:
-            return
-        listed_ids = {i.id for i in event.engines}
-        records = {
-            i: e for i, e in self.engines.items() if event.kind is api.ListKind.DELTA or i in listed_ids
-        }
-        for info in event.engines:
-            old_record = records.get(info.id)
-            if info.state is api.EngineState.GONE:
-                records.pop(info.id, None)
-            elif old_record is not None and old_record.info.started_at_us == info.started_at_us:
-                old_record.info = info
-            else:
-                engine_kind = self.kinds_by_name.get(info.kind)
-                size = (engine_kind.cores, engine_kind.memory_mb) if engine_kind else (None, None)
-                records[info.id] = self.new_engine_record(info, *size)
-                if old_record is not None:
-                    records[info.id].slow_start_sent = old_record.slow_start_sent
-        self.engines = records
-        self.cluster_cores = sum(e.cores for e in records.values()) or 1.0
-        self.any_engine_wide_limit, self.warmed_up_cores = (
-            any(e.has_engine_wide_limit for e in records.values()),
-            self.cluster_cores,
-        )
-        self.active_engines = {
-            i: e for i, e in records.items() if not e.has_engine_wide_limit or i in self.active_engines
-        }
-        ready = [e for e in records.values() if e.info.state is api.EngineState.READY]
-        self.engines_for_class = [
-            {e: None for e in ready if allows(c, e.info)} for c in self.settings.classes
-        ]
+            return []
+        if event.kind is not api.ListKind.DELTA:
+            listed_ids = {info.id for info in event.engines}
+            for engine in [e for i, e in self.engines.items() if i not in listed_ids]:
+                self._remove_engine(engine)
+        opened = [engine for info in event.engines if (engine := self._apply_engine(info)) is not None]
+        self.any_engine_wide_limit = self.fleet.engine_wide_limit_count > 0
+        return opened
+
+    def _apply_engine(self, info: api.Engine) -> EngineRecord | None:
+        """Apply an engine's entry in a list; return its record if the engine has become ready.
 
-
-def allows(query_class: api.QueryClass, engine: api.Engine) -> bool:
-    """Return whether a class's settings let its queries run on an engine."""
-    in_zone = query_class.only_zones is None or engine.zone in query_class.only_zones
-    return in_zone and (query_class.only_kinds is None or engine.kind in query_class.only_kinds)
+        An engine that has restarted gets a new record, which keeps the work sent in slow start.
+        """
+        old_record = self.engines.get(info.id)
+        if info.state is api.EngineState.GONE:
+            if old_record is not None:
+                self._remove_engine(old_record)
+            return None
+        if old_record is not None and old_record.info.started_at_us == info.started_at_us:
+            return self._update_engine(old_record, info)
+        engine_kind = self.kinds_by_name.get(info.kind)
+        size = (engine_kind.cores, engine_kind.memory_mb) if engine_kind else (None, None)
+        engine = self.new_engine_record(info, *size)
+        if old_record is not None:
+            engine.slow_start_sent = old_record.slow_start_sent
+            self._remove_engine(old_record)
+        self.fleet.add(engine)
+        self.on_engine_changed(engine)
+        return engine if info.state is api.EngineState.READY else None
+
+    def _update_engine(self, engine: EngineRecord, info: api.Engine) -> EngineRecord | None:
+        if engine.info == info:
+            return None
+        was_ready = engine.info.state is api.EngineState.READY
+        self.fleet.update(engine, info)
+        self.on_engine_changed(engine)
+        return engine if info.state is api.EngineState.READY and not was_ready else None
+
+    def _remove_engine(self, engine: EngineRecord) -> None:
+        self.fleet.remove(engine)
+        self.active_engines.discard(engine)
+        self.on_engine_changed(engine)
--- a/tests/test_large_fleet.py
+++ b/tests/test_large_fleet.py
@@ -492,7 +492,7 @@
     slow_start_engine.slow_start_sent.sum_since(driver.now_us + 60 * SECOND_US)  # forgets what was sent
     engine_before = of_type(api.Send, driver.submit())[0].engine
     slow_start_engine.turn_draw = 0.0  # gives this gateway a turn
-    driver.controller._update_turns()
+    driver.controller._follow_slow_start(slow_start_engine)
     assert (
         engine_before != "cold"
         and of_type(api.Send, driver.submit(cost_us=0.9 * turn_work_us(SECOND_US)))[0].engine == "cold"
@@ -510,7 +510,7 @@
     ) = 1.0
     before = driver.controller.cluster_slots
     driver.controller.engines["cold"].turn_draw = 0.0
-    driver.controller._update_turns()
+    driver.controller._follow_slow_start(driver.controller.engines["cold"])
     assert of_type(api.Send, driver.submit(cost_us=0.9 * turn_work_us(SECOND_US)))[0].engine == "cold"
     assert driver.controller.cluster_slots == before
     assert not of_type(api.Send, driver.submit(cost_us=0.9 * turn_work_us(SECOND_US)))
--- a/tests/test_size.py
+++ b/tests/test_size.py
@@ -111,7 +111,7 @@
     )
     driver.advance(20 * SECOND_US)
     assert (
-        not set(driver.controller.active_engines) - set(driver.controller.engines)
+        not set(driver.controller.active_engines) - set(driver.controller.engines.values())
         and not driver.controller.queries
     )
     assert not driver.controller.recent_answers.engines_since(driver.now_us)
