Let everything else run between two events of one read of the channel

A read of the channel brings up to 64 KB, about 140 events, and a turn ended only after all of them.

Cause: ChannelClient._read_events looked at the end of its turn once for each read. With events that cost 10 ms each, a turn of 2 ms took over a second.

Change: the turn may end after each event, and after each read as before, since comments alone are no events. An event that was applied is never applied again: the cursor moves with it, also if the call is ended in between.

--- a/hollowhitch/net/channel.py
+++ b/hollowhitch/net/channel.py
@@ -141,7 +141,8 @@
                     return
                 for event in events:
                     self.process_event(event)
-                turn.yield_if_over()
+                    turn.yield_if_over()
+                turn.yield_if_over()  # also after comments, of which there may be any number
 
     def process_event(self, event: ServerEvent) -> None:
         """Apply an event, unless it was applied before.
--- a/tests/test_fleet_growth.py
+++ b/tests/test_fleet_growth.py
@@ -10,11 +10,15 @@
 from collections.abc import Callable
 from pathlib import Path
 
+import gevent
 import pytest
 
 import hollowhitch
 from hollowhitch import config as configuration
+from hollowhitch import metrics
 from hollowhitch.__main__ import Proxy
+from hollowhitch.net import channel
+from hollowhitch.net.channel import ChannelClient
 from hollowhitch.policy import interface as api
 from hollowhitch.policy import membership
 from hollowhitch.protocol.channel import ServerEvent, decode_event
@@ -254,3 +258,49 @@
             replace_engine(number)
         lines[maximum] = count_mean_lines(lambda n: replace_engine(100_000 + n))
     assert_no_loop_over_all_engines(lines)
+
+
+def test_everything_else_runs_between_the_events_of_one_read_of_the_channel(monkeypatch):
+    """Guards against a loop that stands still while all events of a read are handled, 64 KB of them."""
+    monkeypatch.setattr(channel, "dial", lambda *arguments: FakeChannel(event_count=200))
+    monkeypatch.setattr("hollowhitch.net.turns.TURN_S", 0.0)
+    applied: list[int] = []
+    client = ChannelClient(0, lambda command: applied.append(command.cursor), metrics.Metrics())
+    seen_counts: list[int] = []
+
+    def watch() -> None:
+        while len(applied) < 200:
+            seen_counts.append(len(applied))
+            gevent.sleep(0)
+
+    client.follow(("127.0.0.1", 1))
+    gevent.spawn(watch).join(timeout=10)
+    client.follow(None)
+    assert applied == list(range(1, 201))
+    assert len(set(seen_counts)) > 100
+
+
+class FakeChannel:
+    """A connection to the command channel on which all events arrive with one read."""
+
+    def __init__(self, event_count: int) -> None:
+        events = (f'id: {n}\ndata: {{"cursor": {n}}}\n\n' for n in range(1, event_count + 1))
+        self._content = b"HTTP/1.1 200 OK\r\n\r\n" + "".join(events).encode()
+
+    def __enter__(self) -> FakeChannel:
+        return self
+
+    def __exit__(self, *exception: object) -> None:
+        pass
+
+    def settimeout(self, timeout_s: float | None) -> None:
+        pass
+
+    def sendall(self, content: bytes) -> None:
+        pass
+
+    def recv_into(self, space: memoryview) -> int:
+        count = min(len(space), len(self._content))
+        space[:count] = self._content[:count]
+        self._content = self._content[count:]
+        return count
