--- a/hollowhitch/policy/engine_sets.py
+++ b/hollowhitch/policy/engine_sets.py
@@ -54,8 +54,9 @@
         """Yield up to `most` members in random order. The set must not change meanwhile."""
         # A shuffle (Fisher-Yates) that is carried out as far as it is needed, and notes only what it moved.
         members, moved = self._members, {}
-        for n in range(min(most, len(members))):
-            drawn = rng.randrange(n, len(members))
+        size, draw = len(members), rng.random
+        for n in range(min(most, size)):
+            drawn = n + int(draw() * (size - n))
             yield members[moved.get(drawn, drawn)]
             moved[drawn] = moved.get(n, n)
 
--- a/hollowhitch/policy/routing.py
+++ b/hollowhitch/policy/routing.py
@@ -157,14 +157,13 @@
         exploration, engines that have recovered would not be found.
         """
         explores = not query.bins[0] and self.rng.random() < EXPLORATION_SHARE
-        answered = IndexedSet(
-            self.recent_answers.engines_since(self.now_us - MAX_ANSWER_AGE_US)[:RECENT_ANSWERS_SAMPLED]
-        )
-        reporting = () if explores else self._reporting_engines()
+        answered = self.recent_answers.engines_since(self.now_us - MAX_ANSWER_AGE_US)
+        answered = answered[:RECENT_ANSWERS_SAMPLED]
+        self.rng.shuffle(answered)
         for engines in (
             self.engines_on_our_turn.in_random_order(self.rng, SMALL_FLEET_ENGINES),
-            answered.in_random_order(self.rng, RECENT_ANSWERS_SAMPLED),
-            reporting,
+            answered,
+            () if explores else self._reporting_engines(),
         ):
             candidates = self._first_two(
                 engine for engine in engines if engine in partition and self._may_use(engine, query)
