Give no place to connections whose clients have gone

Cause: a connection took a place until its input was read, also after its client had gone, and one with unread input never lost its place. _admit closed what came after that without a look at what it brings.

Change: Listener closes a connection that its client has closed or reset before the accept, and counts it. At the limit, connections whose clients have gone are closed first, then those whose clients have sent more than 32 requests at once. The console does not drop closed connections, since an operator may close its side after the request.

Why it works: what fills the places now are clients that are there.

--- a/hollowhitch/metrics.py
+++ b/hollowhitch/metrics.py
@@ -87,6 +87,9 @@
         self.client_closes = Counter(
             "hollowhitch_client_closes_total", "reason", "Client connections closed, by the reason."
         )
+        self.abandoned_connections = Counter(
+            "hollowhitch_abandoned_connections_total", "when", "Connections that clients closed unserved."
+        )
         self.engine_closes = Counter(
             "hollowhitch_engine_closes_total", "reason", "Engine connections closed, by the reason."
         )
--- a/hollowhitch/net/client_activity.py
+++ b/hollowhitch/net/client_activity.py
@@ -19,11 +19,12 @@
     """Ranks in which connections are closed at the connection limit, first the lowest."""
 
     CLOSING = 0
-    SILENT = 1  # without a frame, or within one, for too long
-    IDLE = 2  # between requests for a while
-    SLOW_FIRST_FRAME = 3  # still writing its first frame after a while
-    RECENTLY_ACTIVE = 4  # between requests
-    NEW = 5  # its first request may be in transit
+    EXCESSIVE = 1  # has sent more requests at once than a client may
+    SILENT = 2  # without a frame, or within one, for too long
+    IDLE = 3  # between requests for a while
+    SLOW_FIRST_FRAME = 4  # still writing its first frame after a while
+    RECENTLY_ACTIVE = 5  # between requests
+    NEW = 6  # its first request may be in transit
 
 
 class ClientActivity:
--- a/hollowhitch/net/client_connection.py
+++ b/hollowhitch/net/client_connection.py
@@ -197,6 +197,11 @@
         self.sock.close()  # ends the reader too
         self.host.connection_closed(self)
 
+    def evict(self) -> None:
+        """Close the connection to make room for others; requests that are open are refused or failed."""
+        self._answer_all()
+        self.disconnect(CloseReason.CONNECTION_LIMIT)
+
     def disconnect(self, reason: CloseReason) -> None:
         """Close the connection now, on this process's own decision.
 
@@ -358,10 +363,12 @@
         """Return the connection's rank when connections are closed at the connection limit.
 
         None means that the connection must not be closed, because the client waits for an answer or is
-        writing a request. `now_s` is in monotonic seconds.
+        writing a request, and keeps to the protocol. `now_s` is in monotonic seconds.
         """
         if self.closing.is_write_shut or (self.is_closing and not self.protocol.open_streams):
             return EvictionRank.CLOSING
+        if self.protocol.has_exceeded_limit:
+            return EvictionRank.EXCESSIVE
         if self._is_in_use or self.reader.has_unhandled_input:
             return None
         return self.client.eviction_rank(now_s, self._is_within_frame)
@@ -455,13 +462,13 @@
 
         Reads alone would tell too late: the close comes after all bytes that the client sent before it.
         """
-        if self._close_if_client_left():
+        if self.close_if_client_left():
             return
         self.reader.catch_up()
         if not self.closed and self.reader.may_hide_cancellation:
             self._terminate_queries()
 
-    def _close_if_client_left(self) -> bool:
+    def close_if_client_left(self) -> bool:
         """Close the connection if its client has, and return whether it is closed."""
         if not self.closed and self.reader.peer.has_closed:
             self._record_close(CloseReason.CLIENT_CLOSED)
@@ -472,7 +479,7 @@
         host = self.host
         if event.stream not in self.protocol.open_streams:  # cancelled, or the client has gone
             return
-        if self._close_if_client_left():
+        if self.close_if_client_left():
             return
         reason = host.rejection_reason()
         if self.send_queue.full or self.reader.may_hide_cancellation:
--- a/hollowhitch/net/frontend.py
+++ b/hollowhitch/net/frontend.py
@@ -49,7 +49,9 @@
         self._leave_requested = Event()  # set while the lifecycle asks clients to leave
         self._all_closed = Event()  # set while there is no connection
         self._all_closed.set()
-        self._listener = Listener(config.listen, self._admit, gateway.metrics, gateway.clock)
+        self._listener = Listener(
+            config.listen, self._admit, gateway.metrics, gateway.clock, self._make_room, drops_closed=True
+        )
 
     def start(self) -> None:
         """Listen, and start the greenlets that close connections. Raise OSError as `Listener.start` does."""
@@ -99,6 +101,10 @@
         Leaving new connections in the kernel's queue would be worse, because requests sent on them count as
         accepted.
         """
+        if len(self.connections) < self.config.clients_most:
+            return True
+        for connection in list(self.connections):
+            connection.close_if_client_left()
         if len(self.connections) < self.config.clients_most:
             return True
         now_s = time.monotonic()
@@ -109,7 +115,7 @@
         ]
         remaining_count = EVICTION_BATCH
         for rank, _, _, connection in sorted(ranked):
-            connection.disconnect(CloseReason.CONNECTION_LIMIT)
+            connection.evict()
             remaining_count -= 1
             if (
                 not remaining_count or rank is EvictionRank.NEW
--- a/hollowhitch/protocol/frames.py
+++ b/hollowhitch/protocol/frames.py
@@ -290,6 +290,7 @@
     def __init__(self) -> None:
         self.buffer = ReceiveBuffer()
         self.open_streams: set[int] = set()
+        self.has_exceeded_limit = False  # the client has sent a request with MAX_OPEN_REQUESTS unanswered
         self._used_streams: dict[int, None] = {}  # an ordered set, the oldest first
         self.broken = False
         self.bytes_to_skip = 0  # bytes to come of a frame that is being discarded
@@ -405,6 +406,7 @@
         if stream in self.open_streams or stream in self._used_streams:
             return DuplicateStream(stream)
         limit_reached = len(self.open_streams) >= MAX_OPEN_REQUESTS
+        self.has_exceeded_limit = self.has_exceeded_limit or limit_reached
         self.open_streams.add(stream)
         if limit_reached:
             return BadRequest(stream, f"over {MAX_OPEN_REQUESTS} requests are open on this connection")
--- a/tests/test_console.py
+++ b/tests/test_console.py
@@ -4,6 +4,7 @@
 
 import contextlib
 import errno
+import socket as native_socket
 import time
 
 import gevent
@@ -177,13 +178,13 @@
 
 @pytest.mark.parametrize("error_number", [errno.ECONNABORTED, errno.ENFILE, errno.EMFILE, errno.ENOBUFS])
 def test_request_is_answered_after_temporary_accept_errors(console, monkeypatch, error_number):
-    errors, accept = [error_number] * 10, socket.socket.accept
+    errors, accept = [error_number] * 10, native_socket.socket.accept
 
     def failing_accept(self):
         if errors:
             raise OSError(errors.pop(), "temporary")
         return accept(self)
 
-    monkeypatch.setattr(socket.socket, "accept", failing_accept)
+    monkeypatch.setattr(native_socket.socket, "accept", failing_accept)
     status, seconds = send(console, http_request("GET", "/ready"))
     assert status == 200 and seconds < MAX_RESPONSE_S and not errors
