Refuse a deduplicated query only while its repeat would be dropped

Cause: may_refuse returned True for a deduplicated class with the group 'all', however long ago the first attempt that may have run was sent.

Change: such a query is refused only if the client's next try, after the advised time and 1 s for the way to an engine, falls within the window. A held query that may not be sent any more fails at once.

--- a/hollowhitch/policy/constants.py
+++ b/hollowhitch/policy/constants.py
@@ -160,6 +160,8 @@
 # A query must be answered this many ticks of the clock (which delivers events in batches) before its client
 # gives up.
 ANSWER_MARGIN_TICKS = 2.2
+# Time from when a client may send a refused query again until that try has reached an engine.
+NEXT_TRY_MARGIN_US = 1_000_000
 # Time after a list could not be fetched until it is requested again.
 LIST_RETRY_US = 500_000
 
--- a/hollowhitch/policy/holding.py
+++ b/hollowhitch/policy/holding.py
@@ -54,6 +54,9 @@
                 query, EndReason.OVER_QUOTA if query.over_quota else EndReason.MISSES_TARGET
             )
         self.schedule_for(query, max(latest_start_at_us, self.now_us + 1), self._check_deadlines, query)
+        repeat_within_us = self.repeat_within_us(query)
+        if repeat_within_us is not None:
+            self.schedule_for(query, self.now_us + max(repeat_within_us, 1), self._check_deadlines, query)
         self.held_queries.add(group, query, query.query_class.worth / max(query.work_us, 1), is_next=is_next)
         self.check_shutdown(query)
         if query.closed:
@@ -77,15 +80,15 @@
             self.end_unserved(least_worth, EndReason.LEAST_WORTH)
 
     def _check_deadlines(self, query: Query) -> None:
-        """End a query whose time has run out, or that is held and can no longer meet its target."""
-        if (
-            not query.closed
-            and not query.streaming
-            and (self.now_us >= query.answer_by_us or (query.held and self.may_refuse(query)))
-        ):
-            self.end_unserved(
-                query, EndReason.NO_TIME if self.now_us >= query.answer_by_us else EndReason.MISSES_TARGET
-            )
+        """End a query whose time has run out, or a held one that can no longer be sent or meet its target."""
+        if query.closed or query.streaming:
+            return
+        if self.now_us >= query.answer_by_us:
+            self.end_unserved(query, EndReason.NO_TIME)
+        elif query.held and not self.may_attempt(query, at_any_time=True):
+            self.end_unserved(query, EndReason.NO_ATTEMPT_LEFT)
+        elif query.held and self.may_refuse(query):
+            self.end_unserved(query, EndReason.MISSES_TARGET)
 
     def send_held(self, only_engine: EngineRecord | None = None) -> None:
         """Try to send held queries, oldest first, to one engine or to any."""
--- a/hollowhitch/policy/state.py
+++ b/hollowhitch/policy/state.py
@@ -19,6 +19,7 @@
 from typing import Any
 
 from hollowhitch.policy import interface as api
+from hollowhitch.policy.constants import NEXT_TRY_MARGIN_US
 from hollowhitch.policy.containers import EqualSumBins, RollingSum, Schedule, TokenBucket
 from hollowhitch.policy.engine_sets import IndexedSet
 from hollowhitch.policy.fleet import CoreCount, Fleet
@@ -163,15 +164,22 @@
     # Checks of the configured rules
 
     def may_refuse(self, query: Query) -> bool:
-        """Return whether a query may be refused: it never ran, or running it again does no harm (rule 2)."""
-        if query.query_class.retry_safety is api.RetrySafety.SAFE or (
-            query.first_possible_run is None and not query.attempts_in_flight()
-        ):
+        """Return whether a query may be refused: it never ran, or running it again does no harm (rule 2).
+
+        After a refusal the client may send the query again. So where engines drop repeats, they still have to
+        do so when its next try reaches them.
+        """
+        query_class = query.query_class
+        first = query.first_possible_run or next(iter(query.attempts_in_flight()), None)
+        if first is None or query_class.retry_safety is api.RetrySafety.SAFE:
             return True
-        return (
-            query.query_class.retry_safety is api.RetrySafety.DEDUPLICATED
-            and query.query_class.dedup_scope is api.DedupScope.ALL
-        )
+        if (
+            query_class.retry_safety is not api.RetrySafety.DEDUPLICATED
+            or query_class.dedup_scope is not api.DedupScope.ALL
+        ):
+            return False
+        next_try_at_us = self.now_us + (self.settings.limits.retry_after_us or 0) + NEXT_TRY_MARGIN_US
+        return next_try_at_us <= first.sent_at_us + query_class.dedup_window_us
 
     def may_attempt(self, query: Query, at_any_time: bool = False) -> bool:
         """Return whether a query may be sent now, or with `at_any_time` whether it may be sent now or later.
--- a/tests/test_rules.py
+++ b/tests/test_rules.py
@@ -125,6 +125,37 @@
     assert not of_type(api.Send, actions) and of_type(api.Fail, actions)
 
 
+def deduplicated_driver(window_us: int, *engines: api.Engine) -> ControllerDriver:
+    """Return a driver whose queries are deduplicated for a window by all engines."""
+    query_class = make_query_class(
+        retry_safety=RetrySafety.DEDUPLICATED, dedup_scope=api.DedupScope.ALL, dedup_window_us=window_us
+    )
+    return ControllerDriver(*engines, settings=make_controller_settings(query_class))
+
+
+@pytest.mark.parametrize("ended_after_us,refused", [(2 * SECOND_US, True), (4 * SECOND_US, False)])
+def test_a_query_that_may_have_run_is_refused_only_while_a_further_try_would_be_dropped(
+    ended_after_us, refused
+):
+    """Guards against a refusal after which the client sends a load again, and engines run it twice."""
+    driver = deduplicated_driver(5 * SECOND_US, make_engine("e1"))
+    driver.submit("a", expires_in_us=ended_after_us)
+    actions = driver.advance(ended_after_us)
+    assert [len(of_type(kind, actions)) for kind in (api.Refuse, api.Fail)] == [refused, not refused]
+
+
+def test_a_held_query_that_may_have_run_fails_once_it_may_not_be_sent_any_more():
+    """Guards against clients that wait for their deadline although the query is given up."""
+    driver = deduplicated_driver(3 * SECOND_US, make_engine("e1"), make_engine("e2"))
+    driver.submit("a", expires_in_us=6 * SECOND_US)
+    for engine in driver.controller.engines.values():
+        engine.ejected_until_us = driver.now_us + 60 * SECOND_US
+    driver.now_us += 2_500_000
+    assert not of_type(api.Fail, driver.end_attempt("a", Outcome.RESET))
+    assert driver.controller.queries["a"].held
+    assert of_type(api.Fail, driver.advance(600_000))
+
+
 @pytest.mark.parametrize("state", [api.EngineState.DRAINING, api.EngineState.GONE])
 def test_an_engine_listed_as_draining_or_gone_is_sent_nothing_more(state):
     driver = ControllerDriver(make_engine("e1"), make_engine("e2"))
