--- a/hollowhitch/policy/constants.py
+++ b/hollowhitch/policy/constants.py
@@ -208,5 +208,7 @@
 SLOW_START_TURNS = 2
 # Number of turns with an engine for which a gateway computes in advance whether they are its own.
 MAX_TURNS_AHEAD = 8
+# Number of engines whose slow start and turns are updated at once.
+MAX_TURN_UPDATES = 200
 # Upper bound of the tolerated error of an engine's age, as a share of the time that the slow start takes.
 MAX_AGE_ERROR_SHARE = 0.2
--- a/hollowhitch/policy/records.py
+++ b/hollowhitch/policy/records.py
@@ -230,16 +230,17 @@
         `gateway_count` gateways. So all gateways agree without communicating.
         """
         if turns != self.drawn_turns:
-            draws = [self.turn_hash(n) for n in turns]
+            draws = [turn_hash(n, self.info.id) for n in turns]
             self.drawn_turns = turns
             self.turn_draw = min(
                 (d / 2**32 for d in draws if d % gateway_count == gateway_index), default=math.inf
             )
         return self.turn_draw
 
-    def turn_hash(self, turn_number: int) -> int:
-        """Return a number below 2**32, which all gateways compute alike."""
-        return zlib.crc32(f"{turn_number} {self.info.id}".encode())
+    def own_draws(self, turns: range, gateway_count: int, gateway_index: int) -> list[int]:
+        """Return the numbers of those turns that are assigned to a gateway, see `least_turn_draw`."""
+        engine_id = self.info.id
+        return [n for n in turns if turn_hash(n, engine_id) % gateway_count == gateway_index]
 
     def attempt_sent(self, query: Query, attempt: Attempt, slow_start_work_us: float) -> None:
         """Record an attempt that is being sent; `slow_start_work_us` counts against the slow-start budget."""
@@ -278,3 +279,8 @@
         """Subtract the charge and the work of an attempt that has ended."""
         self.used_slots = max(0.0, self.used_slots - attempt.charge)
         self.own_work_us = max(0.0, self.own_work_us - attempt.work_us)
+
+
+def turn_hash(turn_number: int, engine_id: str) -> int:
+    """Return a number below 2**32, which all gateways compute alike."""
+    return zlib.crc32(f"{turn_number} {engine_id}".encode())
--- a/hollowhitch/policy/slow_start.py
+++ b/hollowhitch/policy/slow_start.py
@@ -10,6 +10,7 @@
     BUSY_SHARE_AT_CAPACITY,
     FEEDBACK_PERIOD_US,
     MAX_AGE_ERROR_SHARE,
+    MAX_TURN_UPDATES,
     MAX_TURNS_AHEAD,
     SLOW_START_BUDGET_SHARE,
     SLOW_START_TURNS,
@@ -90,8 +91,13 @@
         )
 
     def _update_turns(self) -> None:
-        """Update which engines are in slow start, and with which of them this gateway has a turn."""
-        while (follow := self._slow_start_calls.pop_due(self.now_us)) is not None:
+        """Update which engines are in slow start, and with which of them this gateway has a turn.
+
+        If thousands have started together, only some of them are looked at, and the others the next time.
+        """
+        for _ in range(MAX_TURN_UPDATES):
+            if (follow := self._slow_start_calls.pop_due(self.now_us)) is None:
+                return
             follow()
 
     def _follow_slow_start(self, engine: EngineRecord) -> None:
@@ -132,20 +138,20 @@
     def _next_turn_change_at_us(self, engine: EngineRecord) -> int:
         """Return when this gateway's turn with an engine begins or ends, or an earlier time to look again."""
         turn_number = self._turn_number(engine)
-        present_draws = range(turn_number - SLOW_START_TURNS, turn_number)
-        last_own_draw = max((n for n in present_draws if self._is_own_draw(engine, n)), default=None)
-        has_turn, change = last_own_draw is not None, turn_number
-        for change in range(turn_number + 1, turn_number + MAX_TURNS_AHEAD):
-            if self._is_own_draw(engine, change - 1):
-                last_own_draw = change - 1
-            if has_turn != (last_own_draw is not None and last_own_draw >= change - SLOW_START_TURNS):
-                break
+        last_number = turn_number + MAX_TURNS_AHEAD
+        own_draws = engine.own_draws(
+            range(turn_number - SLOW_START_TURNS, last_number),
+            self.gateway_count,
+            self.settings.gateway_index,
+        )
+        # A draw counts for the SLOW_START_TURNS turns after it.
+        own_turns = {draw + n for draw in own_draws for n in range(1, SLOW_START_TURNS + 1)}
+        has_turn = turn_number in own_turns
+        following = range(turn_number + 1, last_number)
+        change = next((n for n in following if (n in own_turns) != has_turn), last_number)
         window_us = max(self.settings.rules.slow_start_window_us, 1)
         return engine.info.started_at_us + math.ceil(change * window_us / SLOW_START_TURNS)
 
-    def _is_own_draw(self, engine: EngineRecord, turn_number: int) -> bool:
-        return engine.turn_hash(turn_number) % self.gateway_count == self.settings.gateway_index
-
 
 def tolerated_age_error_us(rules: api.Rules) -> float:
     """Return by how many microseconds the age of an engine in slow start may be overestimated.
--- a/tests/test_large_fleet.py
+++ b/tests/test_large_fleet.py
@@ -544,3 +544,26 @@
     driver.handle(api.TimerFired(99))
     driver.advance(200_000)
     assert driver.controller.warmed_up_cores == 29 * 8
+
+
+def test_turns_and_slow_start_are_followed_as_time_passes():
+    """Guards against engines in slow start that are used out of turn, or not at all."""
+    engines = [make_engine(f"n{i}", started_at_us=9 * SECOND_US - i * 137_000) for i in range(60)]
+    driver = large_fleet_driver(*engines, gateway_count=20)
+    controller, earlier, seen = driver.controller, [], set()
+
+    def expected() -> tuple[set[str], float]:
+        in_slow_start = [e for e in controller.engines.values() if controller.in_slow_start(e)]
+        on_our_turn = {e.info.id for e in in_slow_start if controller._least_turn_draw(e) <= 1}
+        return on_our_turn, sum(e.cores for e in in_slow_start)
+
+    for _ in range(180):
+        driver.advance(100_000)
+        earlier = [*earlier[-2:], expected()]
+        on_our_turn = {engine.info.id for engine in controller.engines_on_our_turn}
+        seen |= on_our_turn
+        # An update may be as late as a feedback period or two.
+        assert set.intersection(*(turn for turn, _ in earlier)) <= on_our_turn
+        assert on_our_turn <= set.union(*(turn for turn, _ in earlier))
+        assert controller.slow_start_cores.total in [cores for _, cores in earlier]
+    assert len(seen) > 20 and not on_our_turn and not controller.slow_start_cores.total
